--- /dev/null
+++ b/src/chervilpaddle/base/ids.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace chervilpaddle {
+
+//! A string that only compares with strings of the same kind.
+template<typename Tag>
+class StrongString
+{
+public:
+    StrongString() = default;
+    explicit StrongString(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const std::string &value() const
+    {
+        return m_value;
+    }
+    bool isEmpty() const
+    {
+        return m_value.empty();
+    }
+
+    friend bool operator==(const StrongString &a, const StrongString &b)
+    {
+        return a.m_value == b.m_value;
+    }
+    friend bool operator!=(const StrongString &a, const StrongString &b)
+    {
+        return !(a == b);
+    }
+    friend bool operator<(const StrongString &a, const StrongString &b)
+    {
+        return a.m_value < b.m_value;
+    }
+
+private:
+    std::string m_value;
+};
+
+//! A number that only compares with numbers of the same kind.
+template<typename Tag, typename Number = std::uint64_t>
+class StrongNumber
+{
+public:
+    constexpr StrongNumber() = default;
+    constexpr explicit StrongNumber(Number value)
+        : m_value(value)
+    {
+    }
+
+    constexpr Number value() const
+    {
+        return m_value;
+    }
+
+    friend constexpr bool operator==(StrongNumber a, StrongNumber b)
+    {
+        return a.m_value == b.m_value;
+    }
+    friend constexpr bool operator!=(StrongNumber a, StrongNumber b)
+    {
+        return a.m_value != b.m_value;
+    }
+    friend constexpr bool operator<(StrongNumber a, StrongNumber b)
+    {
+        return a.m_value < b.m_value;
+    }
+
+private:
+    Number m_value{};
+};
+
+using InstanceId = StrongString<struct InstanceIdTag>;
+using ServiceName = StrongString<struct ServiceNameTag>;
+using CustomerName = StrongString<struct CustomerNameTag>;
+using DataCentreName = StrongString<struct DataCentreNameTag>;
+//! Names the request of an outside caller; every call of its tree carries it.
+using RequestId = StrongString<struct RequestIdTag>;
+//! "service.method".
+using OperationName = StrongString<struct OperationNameTag>;
+//! Drawn at random when a process starts; zero stands for "not known".
+using Incarnation = StrongNumber<struct IncarnationTag>;
+//! Counts the published versions of a document; higher is newer.
+using Revision = StrongNumber<struct RevisionTag>;
+//! What a request is worth by its contract, in [minimumWorth, maximumWorth].
+using Worth = StrongNumber<struct WorthTag, int>;
+
+//! The service part of an operation's name; empty where the name has no dot.
+inline ServiceName serviceOf(const OperationName &operation)
+{
+    const auto dot = operation.value().find('.');
+    return ServiceName(dot == std::string::npos ? std::string() : operation.value().substr(0, dot));
+}
+
+} // namespace chervilpaddle
+
+namespace std {
+template<typename Tag>
+struct hash<chervilpaddle::StrongString<Tag>> {
+    size_t operator()(const chervilpaddle::StrongString<Tag> &s) const noexcept
+    {
+        return hash<string>()(s.value());
+    }
+};
+template<typename Tag, typename Number>
+struct hash<chervilpaddle::StrongNumber<Tag, Number>> {
+    size_t operator()(chervilpaddle::StrongNumber<Tag, Number> n) const noexcept
+    {
+        return hash<Number>()(n.value());
+    }
+};
+} // namespace std
--- /dev/null
+++ b/src/chervilpaddle/controllers/admissionqueue.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <chervilpaddle/peer/messages.h>
+
+#include <map>
+#include <optional>
+#include <tuple>
+
+namespace chervilpaddle {
+
+struct QueuedCall {
+    TicketId ticket;
+    OperationName operation;
+    Rank rank = 0;
+    int depth = 0;
+    TimePoint arrival;
+    TimePoint deadline;
+};
+
+//! Waiting calls, ordered by worth, then by depth already paid for, then by the fraction of the rank, which is
+//! the same at every hop of a request's tree. With `worthOrder` off: first in, first out. Not thread safe.
+class AdmissionQueue
+{
+public:
+    explicit AdmissionQueue(bool worthOrder);
+
+    //! Precondition: no call with this ticket is waiting.
+    void push(const QueuedCall &call);
+    //! The call that runs next, or null.
+    const QueuedCall *first() const;
+    //! The call that is given up first, or null.
+    const QueuedCall *last() const;
+    //! The call whose deadline comes first, or null.
+    const QueuedCall *earliestDeadline() const;
+    std::optional<QueuedCall> remove(const TicketId &ticket);
+    std::size_t size() const;
+    bool isEmpty() const;
+
+private:
+    struct Position {
+        int worthClass = 0;
+        int depth = 0;
+        Rank rank = 0;
+        std::uint64_t arrivalNumber = 0;
+
+        friend bool operator<(const Position &a, const Position &b)
+        {
+            return std::make_tuple(-a.worthClass, -a.depth, -a.rank, a.arrivalNumber) < std::make_tuple(-b.worthClass, -b.depth, -b.rank, b.arrivalNumber);
+        }
+    };
+    struct Entry {
+        Position position;
+        QueuedCall call;
+    };
+
+    Position positionOf(const QueuedCall &call);
+
+    bool m_worthOrder;
+    std::uint64_t m_arrivals = 0;
+    std::map<TicketId, Entry> m_entries;
+    std::map<Position, const Entry *> m_order;
+    std::map<std::pair<TimePoint, std::uint64_t>, const Entry *> m_deadlines;
+};
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/configurationcontroller.cpp
@@ -0,0 +1,117 @@
+#include <chervilpaddle/controllers/configurationcontroller.h>
+
+namespace chervilpaddle {
+
+ConfigurationController::ConfigurationController()
+    : m_bundle(std::make_shared<const ContractBundle>())
+    , m_latest(m_bundle.read())
+{
+}
+
+std::shared_ptr<const ContractBundle> ConfigurationController::current() const
+{
+    return m_bundle.read();
+}
+
+Adoption ConfigurationController::offer(const Manifest &manifest, const std::map<CustomerName, std::string> &texts)
+{
+    if (!isNewer(manifest.revision)) {
+        return manifest.revision == m_refusedRevision ? Adoption::Refused : Adoption::NotNewer;
+    }
+    const auto all = assemble(manifest, texts);
+    if (all.size() != manifest.contractDigests.size()) {
+        return Adoption::Incomplete;
+    }
+    std::vector<Problem> problems;
+    ContractBundle bundle = buildBundle(manifest, all, problems);
+    if (!problems.empty()) {
+        m_refusedRevision = manifest.revision;
+        m_refusalReasons = std::move(problems);
+        return Adoption::Refused;
+    }
+    m_latest = std::make_shared<const ContractBundle>(std::move(bundle));
+    m_bundle.publish(m_latest);
+    return Adoption::Adopted;
+}
+
+std::vector<CustomerName> ConfigurationController::missing(const Manifest &manifest) const
+{
+    std::vector<CustomerName> names;
+    for (const auto &[customer, digest] : manifest.contractDigests) {
+        const auto held = m_latest->manifest.contractDigests.find(customer);
+        if (held == m_latest->manifest.contractDigests.end() || held->second != digest) {
+            names.push_back(customer);
+        }
+    }
+    return names;
+}
+
+bool ConfigurationController::isNewer(Revision revision) const
+{
+    return m_latest->manifest.revision < revision && m_refusedRevision != revision;
+}
+
+DocumentVersion ConfigurationController::version() const
+{
+    return {m_latest->manifest.revision, m_latest->digest};
+}
+
+Revision ConfigurationController::refusedRevision() const
+{
+    return m_refusedRevision;
+}
+
+const std::vector<Problem> &ConfigurationController::refusalReasons() const
+{
+    return m_refusalReasons;
+}
+
+std::map<CustomerName, std::string> ConfigurationController::assemble(const Manifest &manifest, const std::map<CustomerName, std::string> &texts) const
+{
+    std::map<CustomerName, std::string> all;
+    for (const auto &[customer, digest] : manifest.contractDigests) {
+        if (const auto fresh = texts.find(customer); fresh != texts.end() && contractDigest(fresh->second) == digest) {
+            all[customer] = fresh->second;
+            continue;
+        }
+        const auto held = m_latest->texts.find(customer);
+        if (held != m_latest->texts.end() && contractDigest(held->second) == digest) {
+            all[customer] = held->second;
+        }
+    }
+    return all;
+}
+
+MembershipController::MembershipController()
+    : m_list(std::make_shared<const InstanceList>())
+    , m_latest(m_list.read())
+{
+}
+
+std::shared_ptr<const InstanceList> MembershipController::current() const
+{
+    return m_list.read();
+}
+
+Adoption MembershipController::offer(const InstanceList &list, TimePoint now)
+{
+    if (!(m_latest->revision < list.revision)) {
+        return Adoption::NotNewer;
+    }
+    m_latest = std::make_shared<const InstanceList>(list);
+    m_adoptedAt = now;
+    m_list.publish(m_latest);
+    return Adoption::Adopted;
+}
+
+DocumentVersion MembershipController::version() const
+{
+    return {m_latest->revision, m_latest->digest};
+}
+
+TimePoint MembershipController::adoptedAt() const
+{
+    return m_adoptedAt;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/ejection.cpp
@@ -0,0 +1,53 @@
+#include <chervilpaddle/controllers/ejection.h>
+
+#include <algorithm>
+
+namespace chervilpaddle {
+
+namespace {
+constexpr int failuresBeforeEjection = 5;
+constexpr Duration firstEjection = std::chrono::seconds(1);
+constexpr int mostDoublings = 5;
+constexpr std::size_t mostEjectedDivisor = 3;
+} // namespace
+
+void Ejection::recordSuccess(const InstanceId &instance)
+{
+    m_health.erase(instance);
+}
+
+void Ejection::recordFailure(const InstanceId &instance, TimePoint now)
+{
+    Health &health = m_health[instance];
+    ++health.failuresInRow;
+    if (health.failuresInRow < failuresBeforeEjection || now < health.ejectedUntil) {
+        return;
+    }
+    health.ejectedUntil = now + firstEjection * (1 << std::min(health.ejections, mostDoublings));
+    ++health.ejections;
+}
+
+bool Ejection::isEjected(const InstanceId &instance, TimePoint now) const
+{
+    const auto health = m_health.find(instance);
+    return health != m_health.end() && now < health->second.ejectedUntil;
+}
+
+void Ejection::forget(const InstanceId &instance)
+{
+    m_health.erase(instance);
+}
+
+std::vector<InstanceId> Ejection::leftOut(const std::vector<InstanceId> &service, TimePoint now) const
+{
+    std::vector<InstanceId> ejected;
+    std::copy_if(service.begin(), service.end(), std::back_inserter(ejected), [&](const auto &id) { return isEjected(id, now); });
+    const auto longestFirst = [this](const InstanceId &a, const InstanceId &b) {
+        return m_health.at(b).ejectedUntil < m_health.at(a).ejectedUntil;
+    };
+    std::sort(ejected.begin(), ejected.end(), longestFirst);
+    ejected.resize(std::min(ejected.size(), service.size() / mostEjectedDivisor));
+    return ejected;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -0,0 +1,482 @@
+#include <chervilpaddle/controllers/executor.h>
+
+#include <chervilpaddle/base/random.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilpaddle {
+
+namespace {
+
+constexpr Duration childPriceLifetime = std::chrono::milliseconds(500);
+//! A queue of half a service time's worth of work is taken for a standing one.
+constexpr int standingQueueDivisor = 2;
+constexpr double idleOccupancy = 0.9;
+//! Without deadline drops the queue is bounded by this many calls a slot.
+constexpr std::size_t fixedQueuePerSlot = 4;
+
+std::uint64_t contentDigest(const CallMessage &call)
+{
+    std::string content = call.context.customer.value() + '\n' + call.context.operation.value() + '\n';
+    if (call.payload.body) {
+        content += *call.payload.body;
+    }
+    return stableHash(content);
+}
+
+} // namespace
+
+Executor::Executor(Options options, Hooks hooks)
+    : m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_tickets(m_options.ticketLimits)
+    , m_queue(m_options.policy.worthOrder)
+    , m_slots(m_options.slots)
+    , m_windowStart(m_hooks.clock())
+    , m_occupancySince(m_windowStart)
+{
+}
+
+void Executor::submit(const CallMessage &call, Duration alreadyWaited, Reply reply)
+{
+    ++m_counters.arrivals;
+    if (call.ticket.executorIncarnation != m_options.incarnation) {
+        reply(answerFor(call, ResultCode::ExecutorReplaced, 0));
+        return;
+    }
+    const TicketId &ticket = call.ticket.id;
+    switch (m_tickets.admit(ticket, contentDigest(call))) {
+    case TicketRegistry::Verdict::Fresh:
+        accept(call, m_hooks.clock() + call.remaining - alreadyWaited, std::move(reply));
+        return;
+    case TicketRegistry::Verdict::InFlight:
+        join(ticket, std::move(reply));
+        return;
+    case TicketRegistry::Verdict::Answered:
+        ++m_counters.duplicates;
+        reply(*m_tickets.answer(ticket));
+        return;
+    case TicketRegistry::Verdict::AnswerEvicted:
+        reply(answerFor(call, ResultCode::AnswerLost, 0));
+        return;
+    case TicketRegistry::Verdict::Voided:
+        reply(answerFor(call, ResultCode::TicketVoided, 0));
+        return;
+    case TicketRegistry::Verdict::TooOld:
+        reply(answerFor(call, ResultCode::TicketTooOld, 0));
+        return;
+    case TicketRegistry::Verdict::Mismatch:
+        reply(answerFor(call, ResultCode::TicketMismatch, 0));
+        return;
+    case TicketRegistry::Verdict::Full:
+        reply(answerFor(call, ResultCode::MintersExhausted, call.allowance));
+        renewIncarnation();
+        return;
+    }
+}
+
+void Executor::accept(const CallMessage &call, TimePoint deadline, Reply reply)
+{
+    if (m_draining) {
+        ++m_counters.refusedLeaving;
+        refuse(call, ResultCode::Leaving, reply);
+        return;
+    }
+    const TimePoint now = m_hooks.clock();
+    const QueuedCall queued{call.ticket.id, call.context.operation, call.context.rank, call.context.depth, now, deadline};
+    if (deadline <= now) {
+        ++m_counters.expired;
+        refuse(call, ResultCode::DeadlinePast, reply);
+        return;
+    }
+    m_priceController.recordArrival(call.context.rank);
+    Waiting &waiting = m_waiting[call.ticket.id];
+    waiting.call = call;
+    waiting.replies.push_back(std::move(reply));
+    m_queue.push(queued);
+    pump();
+    dropHopeless();
+}
+
+void Executor::join(const TicketId &ticket, Reply reply)
+{
+    ++m_counters.duplicates;
+    if (const auto waiting = m_waiting.find(ticket); waiting != m_waiting.end()) {
+        waiting->second.replies.push_back(std::move(reply));
+        waiting->second.joined = true;
+        return;
+    }
+    const auto run = m_runOfTicket.find(ticket);
+    if (run == m_runOfTicket.end()) {
+        return;
+    }
+    Active &active = m_runs.at(run->second);
+    active.replies.push_back(std::move(reply));
+    active.joined = true;
+    active.answered = false;
+}
+
+void Executor::refuse(const CallMessage &call, ResultCode code, const Reply &reply)
+{
+    m_tickets.voidTicket(call.ticket.id);
+    reply(answerFor(call, code, call.allowance));
+}
+
+void Executor::dropQueued(const TicketId &ticket, ResultCode code)
+{
+    m_queue.remove(ticket);
+    m_tickets.voidTicket(ticket);
+    auto node = m_waiting.extract(ticket);
+    if (node.empty()) {
+        return;
+    }
+    const Waiting &waiting = node.mapped();
+    const int allowance = waiting.joined ? 0 : waiting.call.allowance;
+    const AnswerMessage answer = answerFor(waiting.call, code, allowance);
+    for (const Reply &reply : waiting.replies) {
+        reply(answer);
+    }
+}
+
+//! Gives up the calls that come last in the order while the queue before them is longer than their deadlines allow.
+void Executor::dropHopeless()
+{
+    if (!m_options.policy.deadlineDrop) {
+        const std::size_t bound = fixedQueuePerSlot * static_cast<std::size_t>(m_slots.slots());
+        while (m_queue.size() > bound) {
+            ++m_counters.shed;
+            dropQueued(m_queue.last()->ticket, ResultCode::Shed);
+        }
+        return;
+    }
+    const TimePoint now = m_hooks.clock();
+    const double rate = startsPerSecond();
+    while (rate > 0 && !m_queue.isEmpty()) {
+        const QueuedCall &last = *m_queue.last();
+        const Duration wait = fromSeconds(static_cast<double>(m_queue.size() - 1) / rate);
+        if (now + wait + m_serviceTimes.leastExpected(last.operation, now) <= last.deadline) {
+            return;
+        }
+        ++m_counters.shed;
+        dropQueued(last.ticket, ResultCode::Shed);
+    }
+}
+
+void Executor::pump()
+{
+    if (m_pumping) {
+        return;
+    }
+    m_pumping = true;
+    const TimePoint now = m_hooks.clock();
+    while (!m_queue.isEmpty() && (!m_options.policy.slots || running() < m_slots.limit())) {
+        const QueuedCall next = *m_queue.first();
+        if (!canFinish(next, now)) {
+            ++m_counters.expired;
+            dropQueued(next.ticket, now >= next.deadline ? ResultCode::DeadlinePast : ResultCode::DeadlineTooClose);
+            continue;
+        }
+        m_queue.remove(next.ticket);
+        startCall(next);
+    }
+    m_shortestQueue = std::min(m_shortestQueue, m_queue.size());
+    m_pumping = false;
+}
+
+void Executor::startCall(const QueuedCall &call)
+{
+    auto node = m_waiting.extract(call.ticket);
+    if (node.empty() || !m_tickets.start(call.ticket)) {
+        return;
+    }
+    noteOccupancy();
+    ++m_counters.started;
+    Waiting &waiting = node.mapped();
+    const RunId id(++m_lastRun);
+    Active &active = m_runs[id];
+    active.run.id = id;
+    active.run.allowance = std::make_shared<Allowance>(waiting.call.allowance);
+    active.run.started = m_hooks.clock();
+    active.run.deadline = call.deadline;
+    active.run.call = std::move(waiting.call);
+    active.replies = std::move(waiting.replies);
+    active.joined = waiting.joined;
+    m_runOfTicket[call.ticket] = id;
+    const Run run = active.run;
+    m_hooks.start(run);
+}
+
+void Executor::finished(RunId id, const BackendResult &result)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()) {
+        return;
+    }
+    noteOccupancy();
+    Active active = std::move(found->second);
+    m_runs.erase(found);
+    m_runOfTicket.erase(active.run.call.ticket.id);
+    ++m_counters.finished;
+
+    const TimePoint now = m_hooks.clock();
+    const bool served = outcomeOf(result.code) == Outcome::Done;
+    if (served) {
+        ++m_windowCompletions;
+        m_serviceTimes.record(active.run.call.context.operation, now - active.run.started, now);
+        m_slots.recordSuccess();
+    } else if (result.code == ResultCode::BackendUnreachable) {
+        m_slots.markCold();
+    } else if (result.code == ResultCode::BackendRefused) {
+        m_slots.recordRefusal();
+    }
+    AnswerMessage answer = answerFor(active.run.call, result.code, 0);
+    answer.payload = result.payload;
+    m_tickets.finish(active.run.call.ticket.id, answer);
+    answerRun(active, answer);
+    pump();
+}
+
+void Executor::answerRun(Active &active, const AnswerMessage &answer)
+{
+    AnswerMessage message = answer;
+    if (!active.joined && !active.answered) {
+        // Only the one asker who lent the allowance gets its rest back; with more askers it counts as spent.
+        message.allowance = active.run.allowance->release();
+    }
+    for (const Reply &reply : std::exchange(active.replies, {})) {
+        reply(message);
+    }
+    active.answered = true;
+}
+
+void Executor::cancel(const TicketId &ticket)
+{
+    if (m_waiting.count(ticket) != 0) {
+        dropQueued(ticket, ResultCode::CancelledBeforeStart);
+        return;
+    }
+    const auto run = m_runOfTicket.find(ticket);
+    if (run == m_runOfTicket.end()) {
+        m_tickets.voidTicket(ticket);
+        return;
+    }
+    Active &active = m_runs.at(run->second);
+    if (active.run.call.context.idempotent && !active.cancelled) {
+        active.cancelled = true;
+        m_hooks.cancelRun(active.run.id);
+    }
+}
+
+bool Executor::voidTicket(const Ticket &ticket)
+{
+    if (ticket.executorIncarnation != m_options.incarnation) {
+        return false;
+    }
+    if (m_waiting.count(ticket.id) != 0) {
+        dropQueued(ticket.id, ResultCode::TicketVoided);
+        return true;
+    }
+    return m_tickets.voidTicket(ticket.id);
+}
+
+void Executor::drain()
+{
+    m_draining = true;
+    while (!m_queue.isEmpty()) {
+        ++m_counters.refusedLeaving;
+        dropQueued(m_queue.first()->ticket, ResultCode::Leaving);
+    }
+}
+
+void Executor::tick()
+{
+    const TimePoint now = m_hooks.clock();
+    expireQueued(now);
+    expireRunning(now);
+    endWindowIfDue(now);
+    pump();
+}
+
+void Executor::expireQueued(TimePoint now)
+{
+    while (const QueuedCall *call = m_queue.earliestDeadline()) {
+        const bool hopeless = m_options.policy.deadlineDrop ? !canFinish(*call, now) : call->deadline <= now;
+        if (!hopeless) {
+            return;
+        }
+        ++m_counters.expired;
+        dropQueued(call->ticket, call->deadline <= now ? ResultCode::DeadlinePast : ResultCode::DeadlineTooClose);
+    }
+}
+
+void Executor::expireRunning(TimePoint now)
+{
+    std::vector<RunId> toCancel;
+    for (auto &[id, active] : m_runs) {
+        if (active.run.deadline > now) {
+            continue;
+        }
+        if (!active.replies.empty()) {
+            // The run may still spend what it holds, so nothing is handed back.
+            active.joined = true;
+            answerRun(active, answerFor(active.run.call, ResultCode::DeadlineWhileRunning, 0));
+        }
+        if (active.run.call.context.idempotent && m_options.policy.deadlineDrop && !active.cancelled) {
+            active.cancelled = true;
+            toCancel.push_back(id);
+        }
+    }
+    for (const RunId id : toCancel) {
+        m_hooks.cancelRun(id);
+    }
+}
+
+void Executor::endWindowIfDue(TimePoint now)
+{
+    const Duration length = now - m_windowStart;
+    if (length < priceWindow) {
+        return;
+    }
+    noteOccupancy();
+    const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * m_slots.limit());
+    const double rate = startsPerSecond();
+    LoadWindow window;
+    window.shortestWait = rate > 0 ? fromSeconds(static_cast<double>(m_shortestQueue) / rate) : Duration::zero();
+    window.waitTarget = m_serviceTimes.mean() / standingQueueDivisor;
+    // A late tick covers more than one window; the controller is told of windows of equal length.
+    window.completions = static_cast<int>(m_windowCompletions * (toSeconds(priceWindow) / toSeconds(length)) + 0.5);
+    window.slotsWereIdle = occupancy < idleOccupancy;
+    if (m_options.policy.price) {
+        m_priceController.endWindow(window);
+    }
+    m_windowStart = now;
+    m_occupiedSlotSeconds = 0;
+    m_shortestQueue = m_queue.size();
+    m_windowCompletions = 0;
+}
+
+void Executor::backendRestarted()
+{
+    m_slots.markCold();
+}
+
+void Executor::setSlots(int slots)
+{
+    m_slots.setSlots(slots);
+}
+
+const Run *Executor::findRun(RunId run) const
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? nullptr : &found->second.run;
+}
+
+void Executor::recordChildPrice(const OperationName &operation, const OperationName &child, Rank price)
+{
+    m_childPrices[operation][child] = {price, m_hooks.clock()};
+}
+
+Rank Executor::price(const OperationName &operation) const
+{
+    Rank highest = ownPrice();
+    const auto children = m_childPrices.find(operation);
+    if (children == m_childPrices.end()) {
+        return highest;
+    }
+    const TimePoint now = m_hooks.clock();
+    for (const auto &[child, known] : children->second) {
+        if (now - known.updated <= childPriceLifetime) {
+            highest = std::max(highest, known.price);
+        }
+    }
+    return highest;
+}
+
+Incarnation Executor::incarnation() const
+{
+    return m_options.incarnation;
+}
+
+bool Executor::isDraining() const
+{
+    return m_draining;
+}
+
+int Executor::running() const
+{
+    return static_cast<int>(m_runs.size());
+}
+
+int Executor::slotLimit() const
+{
+    return m_slots.limit();
+}
+
+std::size_t Executor::queued() const
+{
+    return m_queue.size();
+}
+
+Rank Executor::ownPrice() const
+{
+    return m_options.policy.price ? m_priceController.price() : 0;
+}
+
+Duration Executor::meanServiceTime() const
+{
+    return m_serviceTimes.mean();
+}
+
+const ExecutorCounters &Executor::counters() const
+{
+    return m_counters;
+}
+
+const TicketRegistry &Executor::tickets() const
+{
+    return m_tickets;
+}
+
+void Executor::noteOccupancy()
+{
+    const TimePoint now = m_hooks.clock();
+    m_occupiedSlotSeconds += running() * toSeconds(now - m_occupancySince);
+    m_occupancySince = now;
+}
+
+//! With a new incarnation every ticket of the old one is refused, so its records need not be kept.
+void Executor::renewIncarnation()
+{
+    while (!m_queue.isEmpty()) {
+        dropQueued(m_queue.first()->ticket, ResultCode::MintersExhausted);
+    }
+    m_options.incarnation = Incarnation(stableHash(std::to_string(m_options.incarnation.value())) | 1U);
+    m_tickets = TicketRegistry(m_options.ticketLimits);
+}
+
+AnswerMessage Executor::answerFor(const CallMessage &call, ResultCode code, int allowance) const
+{
+    AnswerMessage answer;
+    answer.ticket = call.ticket.id;
+    answer.code = code;
+    answer.allowance = allowance;
+    answer.price = price(call.context.operation);
+    return answer;
+}
+
+bool Executor::canFinish(const QueuedCall &call, TimePoint now) const
+{
+    if (!m_options.policy.deadlineDrop) {
+        return true;
+    }
+    return now < call.deadline && now + m_serviceTimes.leastExpected(call.operation, now) <= call.deadline;
+}
+
+double Executor::startsPerSecond() const
+{
+    const double mean = toSeconds(m_serviceTimes.mean());
+    return mean > 0 ? m_slots.limit() / mean : 0;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/instancepicker.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chervilpaddle/base/random.h>
+#include <chervilpaddle/controllers/ejection.h>
+#include <chervilpaddle/controllers/pricetable.h>
+
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilpaddle {
+
+//! An instance to which a link is open.
+struct Candidate {
+    InstanceId instance;
+    Incarnation incarnation;
+    DataCentreName dataCentre;
+    bool draining = false;
+};
+
+//! Chooses an executor for a call: the less loaded of two random instances of the own data centre that the call
+//! can pay, else one of another data centre (power of two choices, Mitzenmacher 2001). Not thread safe.
+class InstancePicker
+{
+public:
+    enum class Refusal {
+        None,
+        NoInstance,
+        Price,
+    };
+    struct Choice {
+        const Candidate *candidate = nullptr;
+        Refusal refusal = Refusal::None;
+    };
+    struct Question {
+        OperationName operation;
+        Rank rank = 0;
+        const std::set<InstanceId> *excluded = nullptr;
+        bool ignorePrice = false;
+    };
+
+    InstancePicker(DataCentreName ownDataCentre, std::uint64_t seed);
+
+    //! The returned pointer points into `candidates`.
+    Choice pick(const std::vector<Candidate> &candidates, const Question &question, TimePoint now);
+
+    void callStarted(const InstanceId &instance);
+    void callEnded(const InstanceId &instance);
+    int inFlight(const InstanceId &instance) const;
+
+    PriceTable &prices();
+    const PriceTable &prices() const;
+    Ejection &ejection();
+
+    //! The lowest price among the candidates: what a call must be able to pay somewhere.
+    Rank lowestPrice(const std::vector<Candidate> &candidates, const OperationName &operation, TimePoint now) const;
+
+private:
+    const Candidate *pickFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now);
+    bool canPay(const Candidate &candidate, const Question &question, TimePoint now) const;
+
+    DataCentreName m_ownDataCentre;
+    RandomSource m_random;
+    std::unordered_map<InstanceId, int> m_inFlight;
+    PriceTable m_prices;
+    Ejection m_ejection;
+};
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <chervilpaddle/base/random.h>
+#include <chervilpaddle/controllers/instancelist.h>
+#include <chervilpaddle/controllers/instancepicker.h>
+#include <chervilpaddle/controllers/linkclock.h>
+#include <chervilpaddle/peer/codec.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace chervilpaddle {
+
+//! Names one connection of the peer transport; never used twice by a process.
+using ConnectionId = StrongNumber<struct ConnectionIdTag>;
+
+//! A message from a peer that has introduced itself.
+struct PeerEvent {
+    ConnectionId connection;
+    InstanceId instance;
+    PeerMessage message;
+    //! How long the frame lay unread.
+    Duration waited{};
+};
+
+//! Keeps links to the wanted peers: opens them, notices silent ones, races a new one while the old one is in
+//! doubt, and tells who can be reached. Does no I/O. Not thread safe.
+class LinkController
+{
+public:
+    struct Hooks {
+        Clock clock;
+        std::function<ConnectionId(const Endpoint &)> dial;
+        std::function<void(ConnectionId, const PeerMessage &)> send;
+        std::function<void(ConnectionId)> close;
+        //! What this node says of itself.
+        std::function<HelloMessage()> hello;
+        std::function<StatusMessage()> status;
+        //! Whether calls are waiting for answers of this instance.
+        std::function<bool(const InstanceId &)> hasOutstanding;
+        //! No link to the instance can be opened though calls are waiting.
+        std::function<void(const InstanceId &)> suspect;
+        std::function<void(const InstanceId &, Incarnation)> replaced;
+        std::function<void(const InstanceId &)> relinked;
+        //! Any message but hello.
+        std::function<void(const PeerEvent &)> received;
+    };
+
+    LinkController(Candidate self, ServiceName ownService, Hooks hooks, std::uint64_t seed);
+
+    //! The peers to keep links to; links to others are closed once nothing waits on them.
+    void setWanted(const std::vector<PublishedInstance> &wanted);
+    //! Addresses to ask while no list is known; who answers there is learnt from its hello.
+    void setSeeds(const std::vector<Endpoint> &seeds);
+
+    void opened(ConnectionId connection, bool inbound);
+    void received(ConnectionId connection, const PeerFrame &frame);
+    void closed(ConnectionId connection);
+    //! Opens, checks and refreshes links; call every few dozen milliseconds.
+    void tick();
+
+    //! Sends over the link to an instance; false where none is open.
+    bool send(const InstanceId &instance, const PeerMessage &message);
+    //! Sends over a connection, in answer to a message that came over it.
+    void reply(ConnectionId connection, const PeerMessage &message);
+    //! Tells all peers of the node's state at once.
+    void broadcastStatus();
+    //! Counts calls that came over a connection and are not answered yet: it gets heartbeats more often.
+    void addUnanswered(ConnectionId connection, int change);
+
+    //! The instances of a service that can be called now, this one included.
+    const std::vector<Candidate> &candidates(const ServiceName &service);
+    void setSelf(const Candidate &self);
+
+    //! Whether every node that holds a connection to this one has said that it knows of the drain.
+    bool drainSeenByAll() const;
+
+    std::size_t connectionCount() const;
+    std::size_t linkCount() const;
+    //! When anything was last heard over a link to one of these instances.
+    std::optional<TimePoint> lastHeardFrom(const std::vector<InstanceId> &instances) const;
+
+private:
+    struct Connection {
+        bool inbound = false;
+        bool open = false;
+        InstanceId instance;
+        Incarnation incarnation;
+        bool introduced = false;
+        bool drainSeen = false;
+        int unanswered = 0;
+        TimePoint created;
+        TimePoint lastHeard;
+        TimePoint lastSent;
+        LinkClock clock;
+    };
+    struct Peer {
+        PublishedInstance published;
+        bool wanted = true;
+        std::optional<ConnectionId> current;
+        std::optional<ConnectionId> dialing;
+        //! The link is silent though calls wait: no new ones go there.
+        bool inDoubt = false;
+        bool draining = false;
+        Incarnation incarnation;
+        int failures = 0;
+        TimePoint nextDial;
+    };
+
+    void startDial(Peer &peer, TimePoint now);
+    void dialFailed(Peer &peer, TimePoint now);
+    void introduce(ConnectionId id, Connection &connection, const HelloMessage &hello);
+    void adopt(Peer &peer, ConnectionId id, const HelloMessage &hello);
+    void takeStatus(ConnectionId id, Connection &connection, const StatusMessage &status);
+    StatusMessage statusFor(const Connection &connection) const;
+    void checkPeer(Peer &peer, TimePoint now);
+    void checkSilence(Peer &peer, TimePoint now);
+    void forgiveGap(TimePoint now);
+    void sendHeartbeats(TimePoint now);
+    void sendOver(ConnectionId id, Connection &connection, const PeerMessage &message);
+    void drop(ConnectionId id);
+    void dropUnwanted();
+    Peer *peerDialing(ConnectionId id);
+
+    Candidate m_self;
+    ServiceName m_ownService;
+    Hooks m_hooks;
+    RandomSource m_random;
+    std::map<ConnectionId, Connection> m_connections;
+    std::map<InstanceId, Peer> m_peers;
+    std::vector<Endpoint> m_seeds;
+    std::map<ConnectionId, Endpoint> m_seedDials;
+    TimePoint m_nextSeedDial;
+    std::map<ServiceName, std::vector<Candidate>> m_candidates;
+    bool m_candidatesStale = true;
+    TimePoint m_lastTick;
+};
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/peerselection.cpp
@@ -0,0 +1,96 @@
+#include <chervilpaddle/controllers/peerselection.h>
+
+#include <chervilpaddle/base/random.h>
+
+#include <algorithm>
+#include <map>
+
+namespace chervilpaddle {
+
+namespace {
+
+using Entries = std::vector<const PublishedInstance *>;
+
+//! Orders by the hash of a salt and each instance, so that every salt prefers other instances, stably.
+void orderByHash(Entries &entries, const std::string &salt)
+{
+    const auto weight = [&](const PublishedInstance *entry) { return stableHash(salt + '\n' + entry->instance.value()); };
+    std::sort(entries.begin(), entries.end(), [&](const auto *a, const auto *b) { return weight(a) < weight(b); });
+}
+
+Entries readerEntries(const InstanceList &list, const DataCentreName &dataCentre)
+{
+    Entries entries;
+    for (const PublishedInstance &instance : list.instances) {
+        if (instance.dataCentre == dataCentre && !instance.leaving) {
+            entries.push_back(&instance);
+        }
+    }
+    orderByHash(entries, "reader");
+    entries.resize(std::min(entries.size(), readersPerDataCentre));
+    return entries;
+}
+
+void addSubset(Entries entries, std::size_t most, const std::string &salt, std::map<InstanceId, const PublishedInstance *> &chosen)
+{
+    orderByHash(entries, salt);
+    entries.resize(std::min(entries.size(), most));
+    for (const PublishedInstance *entry : entries) {
+        chosen[entry->instance] = entry;
+    }
+}
+
+} // namespace
+
+std::vector<InstanceId> readersOf(const InstanceList &list, const DataCentreName &dataCentre)
+{
+    std::vector<InstanceId> ids;
+    for (const PublishedInstance *entry : readerEntries(list, dataCentre)) {
+        ids.push_back(entry->instance);
+    }
+    return ids;
+}
+
+bool isReader(const InstanceList &list, const SelectionBase &base)
+{
+    const auto readers = readersOf(list, base.dataCentre);
+    return std::find(readers.begin(), readers.end(), base.instance) != readers.end();
+}
+
+std::vector<PublishedInstance> selectPeers(const InstanceList &list, const SelectionBase &base)
+{
+    std::map<ServiceName, std::pair<Entries, Entries>> services;
+    std::set<DataCentreName> dataCentres;
+    for (const PublishedInstance &instance : list.instances) {
+        dataCentres.insert(instance.dataCentre);
+        const bool called = instance.service == base.service || base.calledServices.count(instance.service) != 0;
+        if (called && instance.instance != base.instance) {
+            auto &[near, far] = services[instance.service];
+            (instance.dataCentre == base.dataCentre ? near : far).push_back(&instance);
+        }
+    }
+    std::map<InstanceId, const PublishedInstance *> chosen;
+    for (const auto &[service, entries] : services) {
+        addSubset(entries.first, nearLinksPerService, base.instance.value(), chosen);
+        addSubset(entries.second, farLinksPerService, base.instance.value(), chosen);
+    }
+    const bool reader = isReader(list, base);
+    for (const DataCentreName &dataCentre : dataCentres) {
+        Entries readers = readerEntries(list, dataCentre);
+        if (dataCentre != base.dataCentre) {
+            readers.resize(std::min<std::size_t>(readers.size(), reader ? 1 : 0));
+        }
+        for (const PublishedInstance *entry : readers) {
+            chosen[entry->instance] = entry;
+        }
+    }
+    std::vector<PublishedInstance> peers;
+    for (const auto &[instance, entry] : chosen) {
+        if (instance != base.instance) {
+            peers.push_back(*entry);
+        }
+    }
+    return peers;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/policyswitches.cpp
@@ -0,0 +1,33 @@
+#include <chervilpaddle/controllers/policyswitches.h>
+
+namespace chervilpaddle {
+
+namespace {
+constexpr double usualRetryBudget = 0.1;
+}
+
+PolicySwitches fullPolicy()
+{
+    return {};
+}
+
+PolicySwitches directPolicy()
+{
+    PolicySwitches policy;
+    policy.worthOrder = false;
+    policy.price = false;
+    policy.allowance = false;
+    policy.deadlineDrop = false;
+    policy.slots = false;
+    return policy;
+}
+
+PolicySwitches usualPolicy()
+{
+    PolicySwitches policy = directPolicy();
+    policy.slots = true;
+    policy.hopRetryBudget = usualRetryBudget;
+    return policy;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/pricetable.cpp
@@ -0,0 +1,28 @@
+#include <chervilpaddle/controllers/pricetable.h>
+
+namespace chervilpaddle {
+
+void PriceTable::record(const InstanceId &instance, const OperationName &operation, Rank price, TimePoint now)
+{
+    m_prices[instance][operation] = {price, now};
+}
+
+Rank PriceTable::price(const InstanceId &instance, const OperationName &operation, TimePoint now) const
+{
+    const auto prices = m_prices.find(instance);
+    if (prices == m_prices.end()) {
+        return 0;
+    }
+    const auto known = prices->second.find(operation);
+    if (known == prices->second.end() || now - known->second.updated >= priceLifetime) {
+        return 0;
+    }
+    return known->second.price;
+}
+
+void PriceTable::forget(const InstanceId &instance)
+{
+    m_prices.erase(instance);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -0,0 +1,390 @@
+#include <chervilpaddle/controllers/router.h>
+
+#include <algorithm>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! How long after its deadline a call still waits for the executor's own word on whether it ran.
+constexpr Duration answerGrace = std::chrono::milliseconds(20);
+constexpr double largestHopBudget = 10;
+
+bool isRefusalWorthRepeating(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Shed:
+    case ResultCode::Leaving:
+    case ResultCode::DeadlineTooClose:
+    case ResultCode::BackendUnreachable:
+    case ResultCode::BackendRefused:
+    case ResultCode::MintersExhausted:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool isInstanceFailure(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::BackendUnreachable:
+    case ResultCode::AnswerLost:
+    case ResultCode::AnswerTruncated:
+    case ResultCode::ExecutorGone:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+Router::Router(Options options, Hooks hooks)
+    : m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_picker(m_options.dataCentre, m_options.seed)
+{
+}
+
+CallId Router::call(OutboundCall call, Completion completion)
+{
+    ++m_counters.calls;
+    m_hopBudget = std::min(largestHopBudget, m_hopBudget + m_options.policy.hopRetryBudget);
+    const CallId id(++m_lastCall);
+    const TimePoint deadline = call.deadline;
+    Pending &pending = m_pending[id];
+    pending.call = std::move(call);
+    pending.completion = std::move(completion);
+    const TimePoint now = m_hooks.clock();
+    if (deadline <= now) {
+        finish(id, ResultCode::DeadlinePast, {});
+        return id;
+    }
+    attempt(id);
+    if (m_pending.count(id) != 0) {
+        m_hooks.schedule(deadline - now + answerGrace, [this, id] { deadlinePassed(id); });
+    }
+    return id;
+}
+
+void Router::attempt(CallId id)
+{
+    Pending &pending = m_pending.at(id);
+    if (pending.call.boundTicket) {
+        const Ticket ticket = *pending.call.boundTicket;
+        attemptBound(id, ticket);
+        return;
+    }
+    // An instance whose link closes as we send was never reached: the next one costs no repeat.
+    while (true) {
+        ResultCode refusal = ResultCode::NoInstance;
+        const Candidate *candidate = choose(pending, refusal);
+        if (candidate == nullptr) {
+            const bool first = pending.attempts == 0;
+            const ResultCode code = first ? refusal : pending.lastCode;
+            const Payload payload = pending.lastPayload;
+            finish(id, code, payload);
+            return;
+        }
+        const Ticket ticket{{m_options.incarnation, ++m_lastSequence}, candidate->instance, candidate->incarnation};
+        pending.tried.insert(ticket.executor);
+        if (sendAttempt(id, ticket)) {
+            return;
+        }
+    }
+}
+
+//! A ticket that an outside caller holds may have been presented before, through any node: unless its executor
+//! says so, nothing tells that it has not run.
+void Router::attemptBound(CallId id, const Ticket &ticket)
+{
+    const Candidate *candidate = linked(serviceOf(m_pending.at(id).call.context.operation), ticket.executor);
+    if (candidate != nullptr && candidate->incarnation != ticket.executorIncarnation) {
+        finish(id, ResultCode::ExecutorReplaced, {});
+        return;
+    }
+    if (candidate == nullptr || !sendAttempt(id, ticket)) {
+        finish(id, ResultCode::ExecutorGone, {});
+    }
+}
+
+bool Router::sendAttempt(CallId id, const Ticket &ticket)
+{
+    Pending &pending = m_pending.at(id);
+    CallMessage message;
+    message.ticket = ticket;
+    message.context = pending.call.context;
+    message.context.branchRepeated = pending.call.context.branchRepeated || pending.mayHaveRun;
+    message.remaining = std::chrono::duration_cast<Duration>(pending.call.deadline - m_hooks.clock());
+    message.payload = pending.call.payload;
+    message.allowance = pending.call.allowance->lend();
+    pending.message = message;
+    pending.lent = message.allowance;
+    m_callOfTicket[ticket.id] = id;
+    m_ticketsAt[ticket.executor].insert(ticket.id);
+    m_picker.callStarted(ticket.executor);
+    ++pending.attempts;
+    ++m_counters.attempts;
+    if (m_hooks.send(ticket.executor, message)) {
+        return true;
+    }
+    --pending.attempts;
+    --m_counters.attempts;
+    pending.call.allowance->takeBack(pending.lent, pending.lent);
+    closeAttempt(pending);
+    return false;
+}
+
+const Candidate *Router::choose(const Pending &pending, ResultCode &refusal)
+{
+    const CallContext &context = pending.call.context;
+    const auto &candidates = m_hooks.candidates(serviceOf(context.operation));
+    InstancePicker::Question question{context.operation, context.rank, &pending.tried, !m_options.policy.price};
+    InstancePicker::Choice choice = m_picker.pick(candidates, question, m_hooks.clock());
+    if (choice.refusal == InstancePicker::Refusal::NoInstance && !pending.tried.empty() && !m_options.policy.allowance) {
+        const std::set<InstanceId> none;
+        question.excluded = &none;
+        choice = m_picker.pick(candidates, question, m_hooks.clock());
+    }
+    if (choice.refusal == InstancePicker::Refusal::Price) {
+        ++m_counters.refusedByPrice;
+        refusal = ResultCode::ShedByPrice;
+    }
+    return choice.candidate;
+}
+
+const Candidate *Router::linked(const ServiceName &service, const InstanceId &instance) const
+{
+    const auto &candidates = m_hooks.candidates(service);
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const auto &c) { return c.instance == instance; });
+    return found == candidates.end() ? nullptr : &*found;
+}
+
+void Router::cancel(CallId id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    if (found->second.message) {
+        const Ticket ticket = found->second.message->ticket;
+        m_hooks.send(ticket.executor, CancelMessage{ticket.id});
+    }
+    finish(id, found->second.message ? ResultCode::CancelledWhileRunning : ResultCode::CancelledBeforeStart, {});
+}
+
+void Router::answered(const InstanceId &instance, const AnswerMessage &answer)
+{
+    const auto call = m_callOfTicket.find(answer.ticket);
+    if (call == m_callOfTicket.end()) {
+        ++m_counters.lateAnswers;
+        return;
+    }
+    const CallId id = call->second;
+    Pending &pending = m_pending.at(id);
+    if (pending.message->ticket.executor != instance) {
+        ++m_counters.lateAnswers;
+        return;
+    }
+    pending.call.allowance->takeBack(answer.allowance, pending.lent);
+    m_picker.prices().record(instance, pending.call.context.operation, answer.price, m_hooks.clock());
+    recordHealth(instance, answer.code);
+    attemptEnded(id, answer.code, answer.payload);
+}
+
+void Router::attemptEnded(CallId id, ResultCode code, const Payload &payload)
+{
+    Pending &pending = m_pending.at(id);
+    closeAttempt(pending);
+    if (outcomeOf(code) != Outcome::NotRun) {
+        pending.mayHaveRun = true;
+    }
+    if (!mayRepeat(pending, code)) {
+        // A refused repeat does not undo an earlier attempt that may have run.
+        const bool earlierMayHaveRun = outcomeOf(code) == Outcome::NotRun && outcomeOf(pending.lastCode) == Outcome::Unknown;
+        const ResultCode final = earlierMayHaveRun ? pending.lastCode : code;
+        finish(id, final, payload);
+        return;
+    }
+    if (outcomeOf(pending.lastCode) != Outcome::Unknown || outcomeOf(code) != Outcome::NotRun) {
+        pending.lastCode = code;
+        pending.lastPayload = payload;
+    }
+    ++m_counters.repeats;
+    attempt(id);
+}
+
+bool Router::mayRepeat(Pending &pending, ResultCode code)
+{
+    if (pending.call.boundTicket || code == ResultCode::Done) {
+        return false;
+    }
+    if (m_hooks.clock() >= pending.call.deadline) {
+        return false;
+    }
+    const Outcome outcome = outcomeOf(code);
+    const bool safe = outcome == Outcome::NotRun || pending.call.context.idempotent;
+    if (!m_options.policy.allowance) {
+        return safe && payForRepeat(pending);
+    }
+    const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code);
+    if (!safe || !useful) {
+        return false;
+    }
+    // Look before paying: a repeat that nobody would take must not cost anything.
+    ResultCode refusal = ResultCode::NoInstance;
+    return choose(pending, refusal) != nullptr && payForRepeat(pending);
+}
+
+bool Router::payForRepeat(Pending &pending)
+{
+    if (m_options.policy.allowance) {
+        return pending.call.allowance->spend();
+    }
+    if (pending.attempts >= m_options.policy.triesPerHop) {
+        return false;
+    }
+    if (m_options.policy.hopRetryBudget == 0) {
+        return true;
+    }
+    if (m_hopBudget < 1) {
+        return false;
+    }
+    m_hopBudget -= 1;
+    return true;
+}
+
+void Router::finish(CallId id, ResultCode code, const Payload &payload)
+{
+    auto node = m_pending.extract(id);
+    Pending &pending = node.mapped();
+    closeAttempt(pending);
+    const CallResult result{code, payload, pending.attempts};
+    pending.completion(result);
+}
+
+void Router::deadlinePassed(CallId id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    if (found->second.message) {
+        const Ticket ticket = found->second.message->ticket;
+        m_hooks.send(ticket.executor, CancelMessage{ticket.id});
+    }
+    finish(id, ResultCode::DeadlineWhileRunning, {});
+}
+
+void Router::instanceSuspect(const InstanceId &instance)
+{
+    for (const CallId id : outstandingAt(instance)) {
+        const auto found = m_pending.find(id);
+        if (found != m_pending.end() && found->second.call.context.idempotent) {
+            recordHealth(instance, ResultCode::ExecutorGone);
+            attemptEnded(id, ResultCode::ExecutorGone, {});
+        }
+    }
+    m_picker.prices().forget(instance);
+}
+
+void Router::instanceReplaced(const InstanceId &instance, Incarnation current)
+{
+    for (const CallId id : outstandingAt(instance)) {
+        const auto found = m_pending.find(id);
+        if (found != m_pending.end() && found->second.message->ticket.executorIncarnation != current) {
+            attemptEnded(id, ResultCode::ExecutorReplaced, {});
+        }
+    }
+    m_picker.prices().forget(instance);
+    m_picker.ejection().forget(instance);
+}
+
+void Router::instanceRelinked(const InstanceId &instance)
+{
+    for (const CallId id : outstandingAt(instance)) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end()) {
+            continue;
+        }
+        ++m_counters.resent;
+        CallMessage message = *found->second.message;
+        message.remaining = std::chrono::duration_cast<Duration>(found->second.call.deadline - m_hooks.clock());
+        m_hooks.send(instance, message);
+    }
+}
+
+std::optional<Ticket> Router::mintTicket(const OperationName &operation, Rank rank)
+{
+    const std::set<InstanceId> none;
+    const auto &candidates = m_hooks.candidates(serviceOf(operation));
+    const InstancePicker::Question question{operation, rank, &none, true};
+    const auto choice = m_picker.pick(candidates, question, m_hooks.clock());
+    if (choice.candidate == nullptr) {
+        return std::nullopt;
+    }
+    return Ticket{{m_options.incarnation, ++m_lastSequence}, choice.candidate->instance, choice.candidate->incarnation};
+}
+
+bool Router::hasOutstanding(const InstanceId &instance) const
+{
+    return m_ticketsAt.count(instance) != 0;
+}
+
+std::size_t Router::outstanding() const
+{
+    return m_pending.size();
+}
+
+Rank Router::price(const OperationName &operation) const
+{
+    return m_picker.lowestPrice(m_hooks.candidates(serviceOf(operation)), operation, m_hooks.clock());
+}
+
+const RouterCounters &Router::counters() const
+{
+    return m_counters;
+}
+
+void Router::recordHealth(const InstanceId &instance, ResultCode code)
+{
+    if (isInstanceFailure(code)) {
+        m_picker.ejection().recordFailure(instance, m_hooks.clock());
+    } else if (outcomeOf(code) == Outcome::Done) {
+        m_picker.ejection().recordSuccess(instance);
+    }
+}
+
+void Router::closeAttempt(Pending &pending)
+{
+    if (!pending.message) {
+        return;
+    }
+    const Ticket &ticket = pending.message->ticket;
+    m_picker.callEnded(ticket.executor);
+    m_callOfTicket.erase(ticket.id);
+    if (const auto tickets = m_ticketsAt.find(ticket.executor); tickets != m_ticketsAt.end()) {
+        tickets->second.erase(ticket.id);
+        if (tickets->second.empty()) {
+            m_ticketsAt.erase(tickets);
+        }
+    }
+    pending.message.reset();
+    pending.lent = 0;
+}
+
+std::vector<CallId> Router::outstandingAt(const InstanceId &instance) const
+{
+    std::vector<CallId> calls;
+    const auto tickets = m_ticketsAt.find(instance);
+    if (tickets == m_ticketsAt.end()) {
+        return calls;
+    }
+    for (const TicketId &ticket : tickets->second) {
+        calls.push_back(m_callOfTicket.at(ticket));
+    }
+    return calls;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/slotlimit.cpp
@@ -0,0 +1,51 @@
+#include <chervilpaddle/controllers/slotlimit.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilpaddle {
+
+namespace {
+constexpr double coldShare = 0.1;
+constexpr double refusalFactor = 0.9;
+} // namespace
+
+SlotLimit::SlotLimit(int slots)
+    : m_slots(std::max(1, slots))
+    , m_limit(m_slots)
+{
+}
+
+int SlotLimit::limit() const
+{
+    return std::max(1, static_cast<int>(std::floor(m_limit)));
+}
+
+int SlotLimit::slots() const
+{
+    return m_slots;
+}
+
+void SlotLimit::setSlots(int slots)
+{
+    const bool wasFull = m_limit >= m_slots;
+    m_slots = std::max(1, slots);
+    m_limit = wasFull ? m_slots : std::min(m_limit, static_cast<double>(m_slots));
+}
+
+void SlotLimit::markCold()
+{
+    m_limit = std::max(1.0, m_slots * coldShare);
+}
+
+void SlotLimit::recordSuccess()
+{
+    m_limit = std::min(static_cast<double>(m_slots), m_limit + 1);
+}
+
+void SlotLimit::recordRefusal()
+{
+    m_limit = std::max(1.0, m_limit * refusalFactor);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/ticketregistry.cpp
@@ -0,0 +1,157 @@
+#include <chervilpaddle/controllers/ticketregistry.h>
+
+#include <algorithm>
+
+namespace chervilpaddle {
+
+namespace {
+std::size_t bytesOf(const AnswerMessage &answer)
+{
+    return answer.payload.body ? answer.payload.body->size() : 0;
+}
+} // namespace
+
+TicketRegistry::TicketRegistry()
+    : TicketRegistry(Limits())
+{
+}
+
+TicketRegistry::TicketRegistry(Limits limits)
+    : m_limits(limits)
+{
+}
+
+TicketRegistry::Verdict TicketRegistry::admit(const TicketId &ticket, std::uint64_t requestDigest)
+{
+    if (const auto found = m_records.find(ticket); found != m_records.end()) {
+        const Record &record = found->second;
+        if (record.state == State::Voided) {
+            return Verdict::Voided;
+        }
+        if (record.requestDigest != requestDigest) {
+            return Verdict::Mismatch;
+        }
+        if (record.state != State::Finished) {
+            return Verdict::InFlight;
+        }
+        return record.answer ? Verdict::Answered : Verdict::AnswerEvicted;
+    }
+    if (isTooOld(ticket)) {
+        return Verdict::TooOld;
+    }
+    if (!hasRoomFor(ticket.minter)) {
+        return Verdict::Full;
+    }
+    m_records[ticket] = {State::Queued, requestDigest, nullptr};
+    return Verdict::Fresh;
+}
+
+bool TicketRegistry::start(const TicketId &ticket)
+{
+    const auto found = m_records.find(ticket);
+    if (found == m_records.end() || found->second.state != State::Queued) {
+        return false;
+    }
+    found->second.state = State::Started;
+    return true;
+}
+
+void TicketRegistry::finish(const TicketId &ticket, const AnswerMessage &answer)
+{
+    const auto found = m_records.find(ticket);
+    if (found == m_records.end() || found->second.state != State::Started) {
+        return;
+    }
+    found->second.state = State::Finished;
+    if (const std::size_t bytes = bytesOf(answer); bytes <= m_limits.mostAnswerBytes) {
+        found->second.answer = std::make_shared<const AnswerMessage>(answer);
+        m_answerBytes += bytes;
+    }
+    retire(ticket);
+}
+
+bool TicketRegistry::voidTicket(const TicketId &ticket)
+{
+    const auto found = m_records.find(ticket);
+    if (found == m_records.end()) {
+        if (isTooOld(ticket) || !hasRoomFor(ticket.minter)) {
+            return false;
+        }
+        m_records[ticket] = {State::Voided, 0, nullptr};
+        retire(ticket);
+        return true;
+    }
+    if (found->second.state == State::Queued) {
+        found->second.state = State::Voided;
+        retire(ticket);
+    }
+    return found->second.state == State::Voided;
+}
+
+const AnswerMessage *TicketRegistry::answer(const TicketId &ticket) const
+{
+    const auto found = m_records.find(ticket);
+    return found == m_records.end() ? nullptr : found->second.answer.get();
+}
+
+std::optional<TicketRegistry::State> TicketRegistry::state(const TicketId &ticket) const
+{
+    const auto found = m_records.find(ticket);
+    return found == m_records.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+std::size_t TicketRegistry::size() const
+{
+    return m_records.size();
+}
+
+std::size_t TicketRegistry::minterCount() const
+{
+    return m_lowWater.size();
+}
+
+std::size_t TicketRegistry::answerBytes() const
+{
+    return m_answerBytes;
+}
+
+bool TicketRegistry::isTooOld(const TicketId &ticket) const
+{
+    const auto mark = m_lowWater.find(ticket.minter);
+    return mark != m_lowWater.end() && ticket.sequence <= mark->second;
+}
+
+bool TicketRegistry::hasRoomFor(Incarnation minter)
+{
+    if (m_lowWater.count(minter) != 0) {
+        return true;
+    }
+    if (m_lowWater.size() >= m_limits.mostMinters) {
+        return false;
+    }
+    m_lowWater[minter] = 0;
+    return true;
+}
+
+void TicketRegistry::retire(const TicketId &ticket)
+{
+    m_retired.push_back(ticket);
+    evict();
+}
+
+void TicketRegistry::evict()
+{
+    while (!m_retired.empty() && (m_retired.size() > m_limits.mostRecords || m_answerBytes > m_limits.mostAnswerBytes)) {
+        const TicketId oldest = m_retired.front();
+        m_retired.pop_front();
+        const auto found = m_records.find(oldest);
+        if (found->second.answer) {
+            m_answerBytes -= bytesOf(*found->second.answer);
+        }
+        m_records.erase(found);
+        std::uint64_t &mark = m_lowWater[oldest.minter];
+        mark = std::max(mark, oldest.sequence);
+    }
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/filters/entryfilters.cpp
@@ -0,0 +1,108 @@
+#include <chervilpaddle/filters/entryfilters.h>
+
+#include <chervilpaddle/base/random.h>
+#include <chervilpaddle/controllers/ratelimiter.h>
+
+#include <algorithm>
+
+namespace chervilpaddle {
+
+namespace {
+
+Filter drainFilter(const EntrySources &sources)
+{
+    return [draining = sources.draining](EntryRequest & /*request*/) -> std::optional<ResultCode> {
+        return draining() ? std::optional(ResultCode::Leaving) : std::nullopt;
+    };
+}
+
+std::optional<ResultCode> filterBody(EntryRequest &request)
+{
+    if (request.payload.body && request.payload.body->size() > largestBodyBytes) {
+        return ResultCode::BodyTooLarge;
+    }
+    return std::nullopt;
+}
+
+Filter contractFilter(const EntrySources &sources)
+{
+    return [bundle = sources.bundle](EntryRequest &request) -> std::optional<ResultCode> {
+        request.bundle = bundle();
+        if (request.bundle->manifest.revision.value() == 0) {
+            return ResultCode::NoConfiguration;
+        }
+        if (!request.bundle->knows(request.customer)) {
+            return ResultCode::UnknownCustomer;
+        }
+        request.terms = request.bundle->find(request.customer, request.operation);
+        if (request.terms == nullptr || !request.terms->ratePerSecond) {
+            return ResultCode::UnknownOperation;
+        }
+        return std::nullopt;
+    };
+}
+
+Filter deadlineFilter(const EntrySources &sources)
+{
+    return [clock = sources.clock](EntryRequest &request) -> std::optional<ResultCode> {
+        const Duration allowed = std::min(request.terms->deadline, request.wantedDeadline.value_or(request.terms->deadline));
+        request.deadline = request.arrival + allowed;
+        return clock() < request.deadline ? std::nullopt : std::optional(ResultCode::DeadlinePast);
+    };
+}
+
+std::optional<ResultCode> filterTicket(EntryRequest &request)
+{
+    if (request.ticketMalformed) {
+        return ResultCode::Malformed;
+    }
+    if (request.terms->idempotent) {
+        request.ticket.reset();
+        return std::nullopt;
+    }
+    if (request.ticket) {
+        return std::nullopt;
+    }
+    return request.attempt > 0 ? ResultCode::RepeatWithoutTicket : ResultCode::TicketRequired;
+}
+
+Filter rankFilter(const EntrySources &sources)
+{
+    return [clock = sources.clock, rates = sources.rates](EntryRequest &request) -> std::optional<ResultCode> {
+        const bool withinRate = rates()->admit(request.customer, request.operation, clock());
+        request.rank = rankOf(request.request, request.terms->worth, request.attempt > 0, withinRate);
+        return std::nullopt;
+    };
+}
+
+std::optional<ResultCode> filterAllowance(EntryRequest &request)
+{
+    request.grant = request.attempt > 0 ? 0 : request.terms->repeats;
+    return std::nullopt;
+}
+
+} // namespace
+
+FilterChain entryFilterChain(const EntrySources &sources)
+{
+    FilterChain chain;
+    chain.add("drain", drainFilter(sources));
+    chain.add("body", filterBody);
+    chain.add("contract", contractFilter(sources));
+    chain.add("deadline", deadlineFilter(sources));
+    chain.add("ticket", filterTicket);
+    chain.add("rank", rankFilter(sources));
+    chain.add("allowance", filterAllowance);
+    return chain;
+}
+
+Rank rankOf(const RequestId &request, Worth worth, bool isRepeat, bool withinRate)
+{
+    // First attempts take the upper half of the fraction, repeats the lower one.
+    const double half = hashFraction(request.value()) / 2;
+    const double fraction = isRepeat ? half : 0.5 + half;
+    const double inWorth = worth.value() + fraction;
+    return withinRate ? inWorth : inWorth / (maximumWorth + 1);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -0,0 +1,128 @@
+#include <chervilpaddle/node/backendadapter.h>
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+constexpr Duration healthTimeout = std::chrono::seconds(1);
+constexpr Duration cancelSlack = std::chrono::seconds(1);
+constexpr std::size_t largestHealthBody = 64 * 1024;
+constexpr int firstErrorStatus = 500;
+constexpr int serviceUnavailable = 503;
+
+ResultCode codeOf(const HttpResult &result)
+{
+    switch (result.stage) {
+    case HttpStage::NotSent:
+        return result.cancelled ? ResultCode::CancelledBeforeStart : ResultCode::BackendUnreachable;
+    case HttpStage::Sent:
+        if (result.cancelled) {
+            return ResultCode::CancelledWhileRunning;
+        }
+        return result.timedOut ? ResultCode::DeadlineWhileRunning : ResultCode::AnswerLost;
+    case HttpStage::Truncated:
+        return ResultCode::AnswerTruncated;
+    case HttpStage::TooLarge:
+        return ResultCode::AnswerTooLarge;
+    case HttpStage::Whole:
+        break;
+    }
+    if (result.response.status == serviceUnavailable && result.response.headers.find(headers::notRun) != nullptr) {
+        return ResultCode::BackendRefused;
+    }
+    return result.response.status >= firstErrorStatus ? ResultCode::DoneWithError : ResultCode::Done;
+}
+
+BackendResult backendResult(const HttpResult &result)
+{
+    BackendResult backend;
+    backend.code = codeOf(result);
+    if (outcomeOf(backend.code) == Outcome::Done) {
+        const std::string *type = result.response.headers.find(headers::contentType);
+        backend.payload = {result.response.status, type != nullptr ? *type : std::string(), std::make_shared<const std::string>(result.response.body)};
+    }
+    return backend;
+}
+
+} // namespace
+
+BackendAdapter::BackendAdapter(boost::asio::io_context &context, const Endpoint &address, Incarnation incarnation, Hooks hooks)
+    : m_client(context, {address, largestBodyBytes})
+    , m_healthClient(context, {address, largestHealthBody})
+    , m_contextPrefix(std::to_string(incarnation.value()) + "-")
+    , m_hooks(std::move(hooks))
+{
+}
+
+void BackendAdapter::start(const Run &run)
+{
+    const Duration remaining = std::max(Duration::zero(), std::chrono::duration_cast<Duration>(run.deadline - m_hooks.clock()));
+    const Duration timeout = remaining + (run.call.context.idempotent ? cancelSlack : m_hooks.patience());
+    m_requests[run.id] = m_client.send(requestFor(run), timeout, [this, id = run.id](const HttpResult &result) {
+        m_requests.erase(id);
+        noteLeaving(result.response);
+        m_hooks.finished(id, backendResult(result));
+    });
+}
+
+void BackendAdapter::cancel(RunId run)
+{
+    if (const auto request = m_requests.find(run); request != m_requests.end()) {
+        m_client.cancel(request->second);
+    }
+}
+
+void BackendAdapter::pollHealth()
+{
+    HttpRequest request;
+    request.target = "/health";
+    m_healthClient.send(request, healthTimeout, [this](const HttpResult &result) {
+        if (result.stage != HttpStage::Whole) {
+            return;
+        }
+        const auto health = nlohmann::json::parse(result.response.body, nullptr, false);
+        if (health.is_object() && health.contains("state") && health["state"] == "leaving") {
+            m_hooks.leaving();
+        }
+    });
+}
+
+RunId BackendAdapter::parseContext(const std::string &header) const
+{
+    if (header.rfind(m_contextPrefix, 0) != 0) {
+        return RunId();
+    }
+    std::uint64_t number = 0;
+    const char *end = header.data() + header.size();
+    const auto [rest, error] = std::from_chars(header.data() + m_contextPrefix.size(), end, number);
+    return error == std::errc() && rest == end ? RunId(number) : RunId();
+}
+
+HttpRequest BackendAdapter::requestFor(const Run &run) const
+{
+    const CallContext &context = run.call.context;
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline - m_hooks.clock());
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/" + context.operation.value();
+    request.headers.set(headers::context, m_contextPrefix + std::to_string(run.id.value()));
+    request.headers.set(headers::request, context.request.value());
+    request.headers.set(headers::customer, context.customer.value());
+    request.headers.set(headers::deadline, std::to_string(std::max<std::int64_t>(0, remaining.count())));
+    request.headers.set(headers::contentType, run.call.payload.contentType);
+    request.body = run.call.payload.body ? *run.call.payload.body : std::string();
+    return request;
+}
+
+void BackendAdapter::noteLeaving(const HttpResponse &response)
+{
+    if (response.headers.find(headers::leaving) != nullptr) {
+        m_hooks.leaving();
+    }
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -0,0 +1,138 @@
+#include <chervilpaddle/node/callersfrontend.h>
+
+#include <chervilpaddle/node/callresponse.h>
+
+#include <boost/asio/post.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+constexpr int longestWantedDeadline = 300'000;
+constexpr int highestAttempt = 1'000'000;
+constexpr std::size_t longestRequestId = 128;
+
+std::string headerOr(const HttpRequest &request, const char *name, const std::string &fallback)
+{
+    const std::string *value = request.headers.find(name);
+    return value != nullptr ? *value : fallback;
+}
+
+Payload takePayload(HttpExchange &exchange)
+{
+    return {0, headerOr(exchange.request(), headers::contentType, {}), std::make_shared<const std::string>(exchange.takeBody())};
+}
+
+} // namespace
+
+CallersFrontend::CallersFrontend(boost::asio::io_context &coreContext, NodeCore &core, EventLog &log)
+    : m_coreContext(coreContext)
+    , m_core(core)
+    , m_log(log)
+    , m_chain(entryFilterChain({core.clock(), [&core] { return core.isDraining(); }, [&core] { return core.bundle(); }, [&core] { return core.rates(); }}))
+    , m_requestPrefix(std::to_string(core.incarnation().value()) + "-")
+{
+}
+
+void CallersFrontend::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto request = std::make_shared<EntryRequest>(parse(*exchange));
+    if (request->operation.isEmpty() || request->request.value().size() > longestRequestId) {
+        refuse(exchange, *request, ResultCode::Malformed);
+        return;
+    }
+    const auto refusal = m_chain.run(*request);
+    if (!refusal) {
+        enter(exchange, request);
+    } else if (refusal->code == ResultCode::TicketRequired) {
+        offerTicket(exchange, *request);
+    } else {
+        refuse(exchange, *request, refusal->code);
+    }
+}
+
+EntryRequest CallersFrontend::parse(HttpExchange &exchange) const
+{
+    const HttpRequest &http = exchange.request();
+    EntryRequest request;
+    request.arrival = m_core.clock()();
+    request.operation = operationOf(http);
+    request.customer = CustomerName(headerOr(http, headers::customer, {}));
+    request.request = RequestId(headerOr(http, headers::request, {}));
+    if (const std::string *ticket = http.headers.find(headers::ticket); ticket != nullptr) {
+        request.ticket = parseTicket(*ticket);
+        request.ticketMalformed = !request.ticket;
+    }
+    const auto deadline = parseIntegerHeader(headerOr(http, headers::deadline, "-1"), -1, longestWantedDeadline);
+    const auto attempt = parseIntegerHeader(headerOr(http, headers::attempt, "0"), 0, highestAttempt);
+    if (!deadline || !attempt) {
+        request.operation = OperationName();
+    } else if (*deadline >= 0) {
+        request.wantedDeadline = std::chrono::milliseconds(*deadline);
+    }
+    request.attempt = attempt.value_or(0);
+    request.payload = takePayload(exchange);
+    return request;
+}
+
+void CallersFrontend::refuse(const std::shared_ptr<HttpExchange> &exchange, const EntryRequest &request, ResultCode code)
+{
+    m_log.debug({"request refused", code, request.request, request.operation.value()});
+    exchange->respond(responseFor(refusal(code), request.request));
+}
+
+void CallersFrontend::offerTicket(const std::shared_ptr<HttpExchange> &exchange, const EntryRequest &request)
+{
+    boost::asio::post(m_coreContext, [this, exchange, request] {
+        const auto ticket = m_core.mintTicket(request.operation, request.terms->worth.value());
+        const ResultCode code = ticket ? ResultCode::TicketRequired : ResultCode::NoInstance;
+        exchange->respond(responseFor(refusal(code), request.request, ticket));
+    });
+}
+
+void CallersFrontend::enter(const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<EntryRequest> &request)
+{
+    if (request->request.isEmpty()) {
+        request->request = RequestId(m_requestPrefix + std::to_string(++m_lastRequest));
+        request->rank = rankOf(request->request, request->terms->worth, request->attempt > 0, request->rank >= minimumWorth);
+    }
+    // Set on the core thread before the call can end, read there when the caller goes.
+    const auto entry = std::make_shared<NodeCore::EntryNumber>();
+    boost::asio::post(m_coreContext, [this, exchange, request, entry] {
+        *entry = m_core.enter(*request, [this, exchange, request](const CallResult &result) {
+            m_log.debug({"request ended", result.code, request->request, request->operation.value()});
+            std::optional<Ticket> fresh;
+            if (request->ticket && outcomeOf(result.code) == Outcome::NotRun) {
+                fresh = m_core.mintTicket(request->operation, request->rank);
+            }
+            exchange->respond(responseFor(result, request->request, fresh));
+        });
+    });
+    exchange->onDisconnect([this, entry] {
+        boost::asio::post(m_coreContext, [this, entry] { m_core.leave(*entry); });
+    });
+}
+
+EgressFrontend::EgressFrontend(boost::asio::io_context &coreContext, NodeCore &core)
+    : m_coreContext(coreContext)
+    , m_core(core)
+{
+}
+
+void EgressFrontend::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    EgressRequest request;
+    request.context = headerOr(exchange->request(), headers::context, {});
+    request.operation = operationOf(exchange->request());
+    request.payload = takePayload(*exchange);
+    const RequestId id(headerOr(exchange->request(), headers::request, {}));
+    const auto call = std::make_shared<CallId>();
+    boost::asio::post(m_coreContext, [this, exchange, request, id, call] {
+        *call = m_core.callFromBackend(request, [exchange, id](const CallResult &result) { exchange->respond(responseFor(result, id)); });
+    });
+    exchange->onDisconnect([this, call] {
+        boost::asio::post(m_coreContext, [this, call] { m_core.cancelFromBackend(*call); });
+    });
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/callresponse.cpp
@@ -0,0 +1,59 @@
+#include <chervilpaddle/node/callresponse.h>
+
+#include <chervilpaddle/peer/codec.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace chervilpaddle {
+
+HttpResponse responseFor(const CallResult &result, const RequestId &request, const std::optional<Ticket> &ticket)
+{
+    const ResultCodeRow &row = describe(result.code);
+    const Outcome outcome = outcomeOf(result.code);
+    HttpResponse response;
+    response.headers.set(headers::outcome, outcomeName(outcome));
+    response.headers.set(headers::code, std::to_string(static_cast<int>(result.code)));
+    response.headers.set(headers::request, request.value());
+    response.headers.set(headers::attempts, std::to_string(result.attempts));
+    if (ticket) {
+        response.headers.set(headers::ticket, formatTicket(*ticket));
+    }
+    if (outcome == Outcome::Done) {
+        response.status = result.payload.status;
+        response.headers.set(headers::contentType, result.payload.contentType);
+        response.body = result.payload.body ? *result.payload.body : std::string();
+        return response;
+    }
+    response.status = row.httpStatus;
+    response.headers.set(headers::contentType, "application/json");
+    const nlohmann::json body = {{"code", static_cast<int>(result.code)}, {"name", row.name}, {"outcome", outcomeName(outcome)}, {"meaning", row.meaning}};
+    response.body = body.dump();
+    return response;
+}
+
+CallResult refusal(ResultCode code)
+{
+    CallResult result;
+    result.code = code;
+    return result;
+}
+
+std::optional<int> parseIntegerHeader(const std::string &value, int lowest, int highest)
+{
+    int number = 0;
+    const char *end = value.data() + value.size();
+    const auto [rest, error] = std::from_chars(value.data(), end, number);
+    if (error != std::errc() || rest != end || number < lowest || number > highest) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+OperationName operationOf(const HttpRequest &request)
+{
+    const bool plain = request.target.size() > 1 && request.target.find('/', 1) == std::string::npos && request.target.find('?') == std::string::npos;
+    return OperationName(plain ? request.target.substr(1) : std::string());
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/node.cpp
@@ -0,0 +1,223 @@
+#include <chervilpaddle/node/node.h>
+
+#include <chervilpaddle/node/callersfrontend.h>
+#include <chervilpaddle/node/nodecore.h>
+#include <chervilpaddle/node/nodemetrics.h>
+#include <chervilpaddle/node/statedump.h>
+#include <chervilpaddle/transport/httpserver.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace chervilpaddle {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto drainPoll = std::chrono::milliseconds(20);
+//! Time for the last answers to leave the sockets.
+constexpr auto flushTime = std::chrono::milliseconds(200);
+constexpr Duration drainSlack = std::chrono::seconds(1);
+constexpr std::size_t largestOperatorBody = 64 * 1024;
+
+//! An event loop and the thread that runs it.
+class Loop
+{
+public:
+    asio::io_context &context()
+    {
+        return m_context;
+    }
+    void start()
+    {
+        m_thread = std::thread([this] {
+            const rcu::ThreadRegistration registration;
+            m_context.run();
+        });
+    }
+    void stop()
+    {
+        m_context.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+private:
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
+    std::thread m_thread;
+};
+
+HttpResponse textResponse(int status, const std::string &type, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set(headers::contentType, type);
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace
+
+class Node::Impl
+{
+public:
+    explicit Impl(const NodeSettings &settings)
+        : m_settings(settings)
+        , m_log(settings.instance, settings.logFormat, settings.logLevel)
+        , m_frontLoops(static_cast<std::size_t>(settings.threads))
+        , m_core(m_coreLoop.context(), settings, m_log)
+        , m_callersFrontend(m_coreLoop.context(), m_core, m_log)
+        , m_egressFrontend(m_coreLoop.context(), m_core)
+        , m_callers(frontContexts(), {settings.callers, largestBodyBytes}, [this](auto exchange) { m_callersFrontend.handle(exchange); })
+        , m_egress(frontContexts(), {settings.egress, largestBodyBytes}, [this](auto exchange) { m_egressFrontend.handle(exchange); })
+        , m_operators({&m_mainContext}, {settings.operators, largestOperatorBody}, [this](auto exchange) { handleOperator(exchange); })
+        , m_signals(m_mainContext, SIGTERM, SIGINT)
+        , m_timer(m_mainContext)
+    {
+    }
+
+    std::error_code run()
+    {
+        if (const std::error_code error = listenAll(); error) {
+            m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, error.message()});
+            return error;
+        }
+        m_coreLoop.start();
+        for (Loop &loop : m_frontLoops) {
+            loop.start();
+        }
+        m_log.info({"node is up", ResultCode::Success, {}, toText(m_settings.callers)});
+        m_signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
+            if (!error) {
+                beginShutdown();
+            }
+        });
+        m_mainContext.run();
+        for (Loop &loop : m_frontLoops) {
+            loop.stop();
+        }
+        m_coreLoop.stop();
+        m_log.flush();
+        return {};
+    }
+
+private:
+    std::vector<asio::io_context *> frontContexts()
+    {
+        std::vector<asio::io_context *> contexts;
+        for (Loop &loop : m_frontLoops) {
+            contexts.push_back(&loop.context());
+        }
+        return contexts;
+    }
+
+    std::error_code listenAll()
+    {
+        for (HttpServer *server : {&m_callers, &m_egress, &m_operators}) {
+            if (const std::error_code error = server->listen(); error) {
+                return error;
+            }
+        }
+        return m_core.start();
+    }
+
+    void handleOperator(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const HttpRequest &request = exchange->request();
+        if (request.target == "/healthz") {
+            exchange->respond(textResponse(m_core.isDraining() ? 503 : 200, "text/plain", m_core.isDraining() ? "draining\n" : "ok\n"));
+        } else if (request.target == "/state") {
+            asio::post(m_coreLoop.context(), [this, exchange] { exchange->respond(textResponse(200, "application/json", stateDump(m_core))); });
+        } else if (request.target == "/metrics") {
+            asio::post(m_coreLoop.context(), [this, exchange] { exchange->respond(textResponse(200, "text/plain; version=0.0.4", m_metrics.scrape(m_core))); });
+        } else if (request.target == "/drain" && request.method == "POST") {
+            asio::post(m_coreLoop.context(), [this, exchange] {
+                m_core.drain("operator");
+                exchange->respond(textResponse(200, "application/json", "{\"draining\":true}\n"));
+            });
+        } else {
+            exchange->respond(textResponse(404, "text/plain", "not found\n"));
+        }
+    }
+
+    void beginShutdown()
+    {
+        m_log.info({"shutdown begins", ResultCode::Leaving, {}, {}});
+        m_callers.closeAfterResponses();
+        asio::post(m_coreLoop.context(), [this] {
+            m_core.drain("signal");
+            m_giveUpAt = m_core.clock()() + m_core.bundle()->longestDeadline() + drainSlack;
+            asio::post(m_mainContext, [this] { pollDrain(); });
+        });
+    }
+
+    void pollDrain()
+    {
+        m_timer.expires_after(drainPoll);
+        m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
+            asio::post(m_coreLoop.context(), [this] {
+                const bool drained = m_core.isDrained();
+                const bool late = m_core.clock()() >= m_giveUpAt;
+                if (!drained && late) {
+                    m_log.warn({"shutdown gives up work in flight",
+                                ResultCode::ExecutorGone,
+                                {},
+                                std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
+                }
+                asio::post(m_mainContext, [this, end = drained || late] { end ? finishShutdown() : pollDrain(); });
+            });
+        });
+    }
+
+    void finishShutdown()
+    {
+        m_callers.stopAccepting();
+        m_egress.stopAccepting();
+        m_operators.stopAccepting();
+        asio::post(m_coreLoop.context(), [this] { m_core.shutdown(); });
+        m_timer.expires_after(flushTime);
+        m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
+            m_log.info({"node is down", ResultCode::Success, {}, {}});
+            m_mainContext.stop();
+        });
+    }
+
+    const rcu::ThreadRegistration m_registration;
+    NodeSettings m_settings;
+    EventLog m_log;
+    asio::io_context m_mainContext{1};
+    Loop m_coreLoop;
+    std::vector<Loop> m_frontLoops;
+    NodeCore m_core;
+    NodeMetrics m_metrics;
+    CallersFrontend m_callersFrontend;
+    EgressFrontend m_egressFrontend;
+    HttpServer m_callers;
+    HttpServer m_egress;
+    HttpServer m_operators;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    TimePoint m_giveUpAt;
+};
+
+Node::Node(const NodeSettings &settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+Node::~Node() = default;
+
+std::error_code Node::run()
+{
+    return m_impl->run();
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/node.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chervilpaddle/node/nodesettings.h>
+
+#include <memory>
+#include <system_error>
+
+namespace chervilpaddle {
+
+//! A whole node: its threads, listeners and signals.
+class Node
+{
+public:
+    explicit Node(const NodeSettings &settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    //! Runs until SIGTERM or SIGINT has led to a graceful shutdown. Errors: AddressInUse.
+    std::error_code run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -0,0 +1,495 @@
+#include <chervilpaddle/node/nodecore.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! Slots assumed while the platform's list has not said.
+constexpr int slotsBeforeList = 16;
+constexpr Duration executorTick = std::chrono::milliseconds(5);
+constexpr Duration linkTick = std::chrono::milliseconds(50);
+constexpr Duration syncTick = std::chrono::milliseconds(250);
+constexpr Duration healthInterval = std::chrono::seconds(1);
+constexpr Duration shortestPatience = std::chrono::seconds(5);
+
+void scheduleOn(boost::asio::io_context &context, Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+} // namespace
+
+NodeCore::NodeCore(boost::asio::io_context &context, const NodeSettings &settings, EventLog &log)
+    : m_context(context)
+    , m_settings(settings)
+    , m_log(log)
+    , m_clock(steadyClock())
+    , m_random(entropySeed())
+    , m_incarnation(randomIdentifier(m_random))
+    , m_rates(std::make_shared<const RateTable>(ContractBundle(), InstanceList()))
+    , m_backend(context,
+                settings.backend,
+                m_incarnation,
+                {m_clock,
+                 [this](RunId run, const BackendResult &result) { runFinished(run, result); },
+                 [this] { drain("backend server"); },
+                 [this] { return std::max(shortestPatience, 2 * m_configuration.current()->longestDeadline()); }})
+    , m_platform(context, settings.platform)
+{
+    makeControllers();
+}
+
+void NodeCore::makeControllers()
+{
+    m_transport = std::make_unique<PeerTransport>(m_context, transportHooks());
+    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, {}}, executorHooks());
+    m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
+    const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, false};
+    m_links = std::make_unique<LinkController>(self, m_settings.service, linkHooks(), m_random());
+    m_links->setSeeds(m_settings.seeds);
+    const SelectionBase base{m_settings.instance, m_settings.dataCentre, m_settings.service, {}};
+    m_sync = std::make_unique<ConfigurationSync>(base, m_configuration, m_membership, syncHooks(), m_random());
+}
+
+std::error_code NodeCore::start()
+{
+    if (const std::error_code error = m_transport->listen(m_settings.peers); error) {
+        return error;
+    }
+    m_sync->start();
+    repeatEvery(executorTick, [this] { m_executor->tick(); });
+    repeatEvery(linkTick, [this] { m_links->tick(); });
+    repeatEvery(syncTick, [this] { m_sync->tick(); });
+    repeatEvery(healthInterval, [this] { m_backend.pollHealth(); });
+    return {};
+}
+
+void NodeCore::repeatEvery(Duration period, std::function<void()> action)
+{
+    scheduleOn(m_context, period, [this, period, action = std::move(action)] {
+        action();
+        repeatEvery(period, action);
+    });
+}
+
+Executor::Hooks NodeCore::executorHooks()
+{
+    return {m_clock, [this](const Run &run) { m_backend.start(run); }, [this](RunId run) { cancelRun(run); }};
+}
+
+Router::Hooks NodeCore::routerHooks()
+{
+    return {m_clock,
+            [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); },
+            [this](const ServiceName &service) -> const std::vector<Candidate> & { return m_links->candidates(service); },
+            [this](const InstanceId &instance, const PeerMessage &message) { return sendToInstance(instance, message); }};
+}
+
+LinkController::Hooks NodeCore::linkHooks()
+{
+    LinkController::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.dial = [this](const Endpoint &address) { return m_transport->dial(address); };
+    hooks.send = [this](ConnectionId connection, const PeerMessage &message) { m_transport->send(connection, message); };
+    hooks.close = [this](ConnectionId connection) { m_transport->close(connection); };
+    hooks.hello = [this] { return hello(); };
+    hooks.status = [this] { return status(); };
+    hooks.hasOutstanding = [this](const InstanceId &instance) { return m_router->hasOutstanding(instance); };
+    hooks.suspect = [this](const InstanceId &instance) {
+        m_log.warn({"instance cannot be reached", ResultCode::ExecutorGone, {}, instance.value()});
+        m_router->instanceSuspect(instance);
+    };
+    hooks.replaced = [this](const InstanceId &instance, Incarnation current) {
+        m_log.info({"instance was replaced", ResultCode::ExecutorReplaced, {}, instance.value()});
+        m_router->instanceReplaced(instance, current);
+    };
+    hooks.relinked = [this](const InstanceId &instance) {
+        m_log.debug({"link is open", ResultCode::Success, {}, instance.value()});
+        m_router->instanceRelinked(instance);
+    };
+    hooks.received = [this](const PeerEvent &event) { receivedFromPeer(event); };
+    return hooks;
+}
+
+ConfigurationSync::Hooks NodeCore::syncHooks()
+{
+    ConfigurationSync::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
+    hooks.read = [this](const std::string &key, ConfigurationSync::PlatformReply reply) { m_platform.read(key, std::move(reply)); };
+    hooks.watch = [this](const std::string &key, Revision after, ConfigurationSync::PlatformReply reply) { m_platform.watch(key, after, std::move(reply)); };
+    hooks.reply = [this](ConnectionId connection, const PeerMessage &message) { m_links->reply(connection, message); };
+    hooks.lastHeardFrom = [this](const std::vector<InstanceId> &readers) { return m_links->lastHeardFrom(readers); };
+    hooks.configurationChanged = [this] {
+        m_log.info({"configuration is in force", ResultCode::Success, {}, "revision " + std::to_string(m_configuration.version().revision.value())});
+        membershipChanged();
+    };
+    hooks.instancesChanged = [this] {
+        m_log.info({"instance list is in force", ResultCode::Success, {}, "revision " + std::to_string(m_membership.version().revision.value())});
+        membershipChanged();
+    };
+    return hooks;
+}
+
+PeerTransport::Hooks NodeCore::transportHooks()
+{
+    PeerTransport::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.opened = [this](ConnectionId connection, bool inbound) { m_links->opened(connection, inbound); };
+    hooks.received = [this](ConnectionId connection, const PeerFrame &frame) { m_links->received(connection, frame); };
+    hooks.closed = [this](ConnectionId connection) { m_links->closed(connection); };
+    hooks.refused = [this](ConnectionId /*connection*/, std::error_code error) {
+        m_log.warn({"a peer's frame was refused", static_cast<ResultCode>(error.value()), {}, error.message()});
+    };
+    return hooks;
+}
+
+std::shared_ptr<const ContractBundle> NodeCore::bundle() const
+{
+    return m_configuration.current();
+}
+
+std::shared_ptr<const RateTable> NodeCore::rates() const
+{
+    return m_rates.read();
+}
+
+bool NodeCore::isDraining() const
+{
+    return m_draining.load(std::memory_order_relaxed);
+}
+
+NodeCore::EntryNumber NodeCore::enter(const EntryRequest &request, Completion completion)
+{
+    const EntryNumber entry(++m_lastEntry);
+    const std::string key = request.customer.value() + '\n' + request.request.value() + '\n' + request.operation.value() + '\n'
+        + std::to_string(stableHash(request.payload.body ? *request.payload.body : std::string()));
+    const bool idempotent = request.terms->idempotent;
+    if (const auto joinable = m_joinable.find(key); idempotent && joinable != m_joinable.end()) {
+        m_entryCalls.at(joinable->second).waiting[entry] = std::move(completion);
+        m_entryCallOf[entry] = joinable->second;
+        return entry;
+    }
+    wantService(serviceOf(request.operation));
+    const std::uint64_t number = entry.value();
+    EntryCall &entryCall = m_entryCalls[number];
+    entryCall.key = key;
+    entryCall.idempotent = idempotent;
+    entryCall.waiting[entry] = std::move(completion);
+    m_entryCallOf[entry] = number;
+    m_joinable[key] = number;
+    const CallId call = m_router->call(outboundFor(request), [this, number](const CallResult &result) { finishEntry(number, result); });
+    if (const auto still = m_entryCalls.find(number); still != m_entryCalls.end()) {
+        still->second.call = call;
+    }
+    return entry;
+}
+
+OutboundCall NodeCore::outboundFor(const EntryRequest &request) const
+{
+    OutboundCall call;
+    call.context.request = request.request;
+    call.context.customer = request.customer;
+    call.context.operation = request.operation;
+    call.context.rank = request.rank;
+    call.context.idempotent = request.terms->idempotent;
+    call.deadline = request.deadline;
+    call.payload = request.payload;
+    call.allowance = std::make_shared<Allowance>(request.grant);
+    call.boundTicket = request.ticket;
+    return call;
+}
+
+void NodeCore::finishEntry(std::uint64_t number, const CallResult &result)
+{
+    auto node = m_entryCalls.extract(number);
+    if (const auto joinable = m_joinable.find(node.mapped().key); joinable != m_joinable.end() && joinable->second == number) {
+        m_joinable.erase(joinable);
+    }
+    for (const auto &[entry, completion] : node.mapped().waiting) {
+        m_entryCallOf.erase(entry);
+        completion(result);
+    }
+}
+
+void NodeCore::leave(EntryNumber entry)
+{
+    const auto number = m_entryCallOf.find(entry);
+    if (number == m_entryCallOf.end()) {
+        return;
+    }
+    const auto call = m_entryCalls.find(number->second);
+    m_entryCallOf.erase(number);
+    call->second.waiting.erase(entry);
+    if (call->second.waiting.empty()) {
+        m_router->cancel(call->second.call);
+    }
+}
+
+std::optional<Ticket> NodeCore::mintTicket(const OperationName &operation, Rank rank)
+{
+    wantService(serviceOf(operation));
+    return m_router->mintTicket(operation, rank);
+}
+
+CallId NodeCore::callFromBackend(const EgressRequest &request, Completion completion)
+{
+    const RunId runId = m_backend.parseContext(request.context);
+    const Run *run = m_executor->findRun(runId);
+    if (run == nullptr) {
+        completion({ResultCode::ContextUnknown, {}, 0});
+        return CallId();
+    }
+    const CallContext &parent = run->call.context;
+    const auto bundle = m_configuration.current();
+    const OperationTerms *parentTerms = bundle->find(parent.customer, parent.operation);
+    const OperationTerms *terms = bundle->find(parent.customer, request.operation);
+    const bool declared = parentTerms != nullptr && terms != nullptr
+        && std::find(parentTerms->calls.begin(), parentTerms->calls.end(), request.operation) != parentTerms->calls.end();
+    if (!declared) {
+        completion({ResultCode::OperationNotDeclared, {}, 0});
+        return CallId();
+    }
+    if (parent.branchRepeated && !terms->idempotent) {
+        completion({ResultCode::BranchRepeated, {}, 0});
+        return CallId();
+    }
+    OutboundCall call;
+    call.context = parent;
+    call.context.operation = request.operation;
+    call.context.depth = parent.depth + 1;
+    call.context.idempotent = terms->idempotent;
+    call.deadline = std::min(run->deadline, m_clock() + terms->deadline);
+    call.payload = request.payload;
+    call.allowance = run->allowance;
+    const OperationName parentOperation = parent.operation;
+    wantService(serviceOf(request.operation));
+    auto id = std::make_shared<CallId>();
+    *id = m_router->call(std::move(call), [this, id, runId, parentOperation, operation = request.operation, completion = std::move(completion)](const CallResult &result) {
+        if (const auto children = m_childCalls.find(runId); children != m_childCalls.end()) {
+            children->second.erase(*id);
+        }
+        m_executor->recordChildPrice(parentOperation, operation, m_router->price(operation));
+        completion(result);
+    });
+    if (m_executor->findRun(runId) != nullptr) {
+        m_childCalls[runId].insert(*id);
+    }
+    return *id;
+}
+
+void NodeCore::cancelFromBackend(CallId call)
+{
+    m_router->cancel(call);
+}
+
+bool NodeCore::sendToInstance(const InstanceId &instance, const PeerMessage &message)
+{
+    if (instance != m_settings.instance) {
+        return m_links->send(instance, message);
+    }
+    boost::asio::post(m_context, [this, message] { submitLocally(message); });
+    return true;
+}
+
+void NodeCore::submitLocally(const PeerMessage &message)
+{
+    if (const auto *call = std::get_if<CallMessage>(&message); call != nullptr) {
+        m_executor->submit(*call, Duration::zero(), [this](const AnswerMessage &answer) {
+            boost::asio::post(m_context, [this, answer] { m_router->answered(m_settings.instance, answer); });
+        });
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&message); cancel != nullptr) {
+        m_executor->cancel(cancel->ticket);
+    }
+}
+
+void NodeCore::receivedFromPeer(const PeerEvent &event)
+{
+    if (const auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
+        submitFromPeer(event, *call);
+    } else if (const auto *answer = std::get_if<AnswerMessage>(&event.message); answer != nullptr) {
+        m_router->answered(event.instance, *answer);
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&event.message); cancel != nullptr) {
+        m_executor->cancel(cancel->ticket);
+    } else if (const auto *voided = std::get_if<VoidMessage>(&event.message); voided != nullptr) {
+        m_executor->voidTicket(voided->ticket);
+    } else {
+        m_sync->received(event);
+    }
+}
+
+void NodeCore::submitFromPeer(const PeerEvent &event, const CallMessage &call)
+{
+    const ConnectionId connection = event.connection;
+    m_links->addUnanswered(connection, 1);
+    m_executor->submit(call, event.waited, [this, connection](const AnswerMessage &answer) {
+        m_links->addUnanswered(connection, -1);
+        m_links->reply(connection, answer);
+    });
+    refreshSelf();
+}
+
+void NodeCore::runFinished(RunId run, const BackendResult &result)
+{
+    m_childCalls.erase(run);
+    m_executor->finished(run, result);
+}
+
+void NodeCore::cancelRun(RunId run)
+{
+    m_backend.cancel(run);
+    if (auto children = m_childCalls.extract(run); !children.empty()) {
+        for (const CallId child : children.mapped()) {
+            m_router->cancel(child);
+        }
+    }
+}
+
+void NodeCore::membershipChanged()
+{
+    const auto bundle = m_configuration.current();
+    const auto list = m_membership.current();
+    m_rates.publish(std::make_shared<const RateTable>(*bundle, *list));
+    m_executor->setSlots(publishedSlots());
+    refreshPeers();
+    m_links->broadcastStatus();
+    const PublishedInstance *self = list->find(m_settings.instance);
+    if (self != nullptr && self->leaving) {
+        drain("published list");
+    }
+}
+
+void NodeCore::refreshPeers()
+{
+    SelectionBase base{m_settings.instance, m_settings.dataCentre, m_settings.service, m_requestedServices};
+    for (const ServiceName &service : m_configuration.current()->servicesCalledBy(m_settings.service)) {
+        base.calledServices.insert(service);
+    }
+    m_links->setWanted(selectPeers(*m_membership.current(), base));
+}
+
+//! The executor may have taken a new incarnation.
+void NodeCore::refreshSelf()
+{
+    if (m_executor->incarnation() == m_incarnation && m_executor->isDraining() == m_draining) {
+        return;
+    }
+    m_incarnation = m_executor->incarnation();
+    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, m_draining});
+    m_links->broadcastStatus();
+}
+
+void NodeCore::wantService(const ServiceName &service)
+{
+    if (service != m_settings.service && m_requestedServices.insert(service).second) {
+        refreshPeers();
+    }
+}
+
+void NodeCore::drain(const std::string &asker)
+{
+    if (m_draining.exchange(true)) {
+        return;
+    }
+    m_log.info({"drain begins", ResultCode::Leaving, {}, "asked for by " + asker});
+    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, true});
+    m_executor->drain();
+    m_links->broadcastStatus();
+}
+
+bool NodeCore::isDrained() const
+{
+    return m_executor->isDraining() && m_executor->running() == 0 && m_router->outstanding() == 0 && m_links->drainSeenByAll();
+}
+
+void NodeCore::shutdown()
+{
+    m_transport->shutdown();
+}
+
+HelloMessage NodeCore::hello() const
+{
+    HelloMessage hello;
+    hello.instance = m_settings.instance;
+    hello.incarnation = m_executor->incarnation();
+    hello.service = m_settings.service;
+    hello.dataCentre = m_settings.dataCentre;
+    hello.slots = publishedSlots();
+    return hello;
+}
+
+StatusMessage NodeCore::status() const
+{
+    StatusMessage status;
+    status.draining = m_draining;
+    status.incarnation = m_executor->incarnation();
+    status.configuration = m_configuration.version();
+    status.instances = m_membership.version();
+    return status;
+}
+
+int NodeCore::publishedSlots() const
+{
+    const PublishedInstance *self = m_membership.current()->find(m_settings.instance);
+    return self != nullptr ? self->slots : slotsBeforeList;
+}
+
+Clock NodeCore::clock() const
+{
+    return m_clock;
+}
+
+const NodeSettings &NodeCore::settings() const
+{
+    return m_settings;
+}
+
+const Executor &NodeCore::executor() const
+{
+    return *m_executor;
+}
+
+const Router &NodeCore::router() const
+{
+    return *m_router;
+}
+
+const LinkController &NodeCore::links() const
+{
+    return *m_links;
+}
+
+const ConfigurationSync &NodeCore::sync() const
+{
+    return *m_sync;
+}
+
+const ConfigurationController &NodeCore::configuration() const
+{
+    return m_configuration;
+}
+
+const MembershipController &NodeCore::membership() const
+{
+    return m_membership;
+}
+
+const PeerTransport &NodeCore::transport() const
+{
+    return *m_transport;
+}
+
+Incarnation NodeCore::incarnation() const
+{
+    return m_incarnation;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/nodecore.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <chervilpaddle/base/rcucell.h>
+#include <chervilpaddle/controllers/configurationsync.h>
+#include <chervilpaddle/controllers/executor.h>
+#include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/ratelimiter.h>
+#include <chervilpaddle/controllers/router.h>
+#include <chervilpaddle/filters/entryrequest.h>
+#include <chervilpaddle/node/backendadapter.h>
+#include <chervilpaddle/node/logging.h>
+#include <chervilpaddle/node/nodesettings.h>
+#include <chervilpaddle/node/platformadapter.h>
+#include <chervilpaddle/transport/peertransport.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+
+namespace chervilpaddle {
+
+//! A call that the backend server beside this node makes.
+struct EgressRequest {
+    std::string context;
+    OperationName operation;
+    Payload payload;
+};
+
+//! Joins the controllers to each other and to the transports. All of it runs on the core thread, but for the members
+//! said to be safe from any thread.
+class NodeCore
+{
+public:
+    using Completion = std::function<void(const CallResult &)>;
+    //! Names an outside request in progress.
+    using EntryNumber = StrongNumber<struct EntryNumberTag>;
+
+    NodeCore(boost::asio::io_context &context, const NodeSettings &settings, EventLog &log);
+
+    //! Listens for peers and starts reading the platform. Before the core thread runs. Errors: AddressInUse.
+    std::error_code start();
+
+    //! The contracts in force. Any registered thread.
+    std::shared_ptr<const ContractBundle> bundle() const;
+    //! This node's share of the customers' rates. Any registered thread.
+    std::shared_ptr<const RateTable> rates() const;
+    //! Any thread.
+    bool isDraining() const;
+
+    //! Sends a request that passed the entry filters. The completion is called exactly once.
+    EntryNumber enter(const EntryRequest &request, Completion completion);
+    //! The caller of a request has gone.
+    void leave(EntryNumber entry);
+    std::optional<Ticket> mintTicket(const OperationName &operation, Rank rank);
+    //! Sends a call of the backend server; returns zero where it was refused at once.
+    CallId callFromBackend(const EgressRequest &request, Completion completion);
+    void cancelFromBackend(CallId call);
+
+    //! Begins the drain; from whichever side it is asked for.
+    void drain(const std::string &asker);
+    //! Nothing is in flight, and every peer knows of the drain.
+    bool isDrained() const;
+    void shutdown();
+
+    Clock clock() const;
+    const NodeSettings &settings() const;
+    const Executor &executor() const;
+    const Router &router() const;
+    const LinkController &links() const;
+    const ConfigurationSync &sync() const;
+    const ConfigurationController &configuration() const;
+    const MembershipController &membership() const;
+    const PeerTransport &transport() const;
+    Incarnation incarnation() const;
+
+private:
+    //! Outside requests that wait for the same call.
+    struct EntryCall {
+        CallId call;
+        std::string key;
+        bool idempotent = false;
+        std::map<EntryNumber, Completion> waiting;
+    };
+
+    void makeControllers();
+    Executor::Hooks executorHooks();
+    Router::Hooks routerHooks();
+    LinkController::Hooks linkHooks();
+    ConfigurationSync::Hooks syncHooks();
+    PeerTransport::Hooks transportHooks();
+    void repeatEvery(Duration period, std::function<void()> action);
+
+    bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
+    void submitLocally(const PeerMessage &message);
+    void receivedFromPeer(const PeerEvent &event);
+    void submitFromPeer(const PeerEvent &event, const CallMessage &call);
+    void runFinished(RunId run, const BackendResult &result);
+    void cancelRun(RunId run);
+    void membershipChanged();
+    void refreshPeers();
+    void refreshSelf();
+    void wantService(const ServiceName &service);
+    void finishEntry(std::uint64_t entryCall, const CallResult &result);
+    OutboundCall outboundFor(const EntryRequest &request) const;
+    HelloMessage hello() const;
+    StatusMessage status() const;
+    int publishedSlots() const;
+
+    boost::asio::io_context &m_context;
+    NodeSettings m_settings;
+    EventLog &m_log;
+    Clock m_clock;
+    RandomSource m_random;
+    Incarnation m_incarnation;
+    std::atomic<bool> m_draining{false};
+    ConfigurationController m_configuration;
+    MembershipController m_membership;
+    RcuCell<RateTable> m_rates;
+    BackendAdapter m_backend;
+    PlatformAdapter m_platform;
+    std::unique_ptr<PeerTransport> m_transport;
+    std::unique_ptr<Executor> m_executor;
+    std::unique_ptr<Router> m_router;
+    std::unique_ptr<LinkController> m_links;
+    std::unique_ptr<ConfigurationSync> m_sync;
+    std::set<ServiceName> m_requestedServices;
+    std::map<RunId, std::set<CallId>> m_childCalls;
+    std::map<std::uint64_t, EntryCall> m_entryCalls;
+    std::map<EntryNumber, std::uint64_t> m_entryCallOf;
+    std::map<std::string, std::uint64_t> m_joinable;
+    std::uint64_t m_lastEntry = 0;
+};
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -0,0 +1,91 @@
+#include <chervilpaddle/node/nodemetrics.h>
+
+#include <chervilpaddle/node/nodecore.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace chervilpaddle {
+
+class NodeMetrics::Impl
+{
+public:
+    std::string scrape(const NodeCore &core)
+    {
+        scrapeExecutor(core.executor());
+        scrapeRouter(core.router());
+        scrapeConfiguration(core);
+        gauge("chervilpaddle_links", "Open links to peers", static_cast<double>(core.links().linkCount()));
+        counter("chervilpaddle_peer_sent_bytes_total", "Bytes sent to peers", core.transport().bytesSent());
+        counter("chervilpaddle_peer_received_bytes_total", "Bytes received from peers", core.transport().bytesReceived());
+        return prometheus::TextSerializer().Serialize(m_registry.Collect());
+    }
+
+private:
+    void scrapeExecutor(const Executor &executor)
+    {
+        const ExecutorCounters &counters = executor.counters();
+        gauge("chervilpaddle_running", "Calls at the backend server", executor.running());
+        gauge("chervilpaddle_slot_limit", "Calls that may be at the backend server", executor.slotLimit());
+        gauge("chervilpaddle_queued", "Calls waiting for a slot", static_cast<double>(executor.queued()));
+        gauge("chervilpaddle_price", "Lowest rank admitted", executor.ownPrice());
+        gauge("chervilpaddle_service_time_seconds", "Mean service time", toSeconds(executor.meanServiceTime()));
+        gauge("chervilpaddle_draining", "1 while the node drains", executor.isDraining() ? 1 : 0);
+        counter("chervilpaddle_arrivals_total", "Calls that arrived", counters.arrivals);
+        counter("chervilpaddle_started_total", "Calls handed to the backend server", counters.started);
+        counter("chervilpaddle_finished_total", "Runs that ended", counters.finished);
+        counter("chervilpaddle_shed_total", "Calls shed for work of more worth", counters.shed);
+        counter("chervilpaddle_expired_total", "Calls dropped for their deadline", counters.expired);
+        counter("chervilpaddle_duplicates_total", "Duplicates answered from records", counters.duplicates);
+    }
+
+    void scrapeRouter(const Router &router)
+    {
+        const RouterCounters &counters = router.counters();
+        gauge("chervilpaddle_outstanding", "Calls waiting for an answer", static_cast<double>(router.outstanding()));
+        counter("chervilpaddle_calls_total", "Calls sent on", counters.calls);
+        counter("chervilpaddle_attempts_total", "Attempts of calls", counters.attempts);
+        counter("chervilpaddle_repeats_total", "Repeats paid from an allowance", counters.repeats);
+        counter("chervilpaddle_refused_by_price_total", "Calls that could not pay the price", counters.refusedByPrice);
+        counter("chervilpaddle_late_answers_total", "Late or duplicated answers that were dropped", counters.lateAnswers);
+    }
+
+    void scrapeConfiguration(const NodeCore &core)
+    {
+        const SyncCounters &counters = core.sync().counters();
+        gauge("chervilpaddle_configuration_revision", "Revision in force", static_cast<double>(core.configuration().version().revision.value()));
+        gauge("chervilpaddle_instances_revision", "Revision of the instance list in force", static_cast<double>(core.membership().version().revision.value()));
+        counter("chervilpaddle_platform_reads_total", "Reads of the platform", counters.reads);
+        counter("chervilpaddle_platform_watches_total", "Watches of the platform", counters.watches);
+        counter("chervilpaddle_platform_failures_total", "Failed reads and watches", counters.failures);
+    }
+
+    void gauge(const std::string &name, const std::string &help, double value)
+    {
+        prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add({}).Set(value);
+    }
+
+    void counter(const std::string &name, const std::string &help, std::uint64_t value)
+    {
+        auto &metric = prometheus::BuildCounter().Name(name).Help(help).Register(m_registry).Add({});
+        metric.Increment(static_cast<double>(value) - metric.Value());
+    }
+
+    prometheus::Registry m_registry{prometheus::Registry::InsertBehavior::Merge};
+};
+
+NodeMetrics::NodeMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+std::string NodeMetrics::scrape(const NodeCore &core)
+{
+    return m_impl->scrape(core);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -0,0 +1,183 @@
+#include <chervilpaddle/node/nodesettings.h>
+
+#include <chervilpaddle/base/inidocument.h>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace chervilpaddle {
+
+namespace {
+
+constexpr int mostThreads = 64;
+
+class SettingsParser
+{
+public:
+    SettingsParser(std::string file, std::vector<Problem> &problems)
+        : m_file(std::move(file))
+        , m_problems(problems)
+    {
+        describeKeys();
+    }
+
+    NodeSettings parse(const std::string &text, const std::vector<SettingOverride> &overrides)
+    {
+        const IniDocument document = parseIni(text, m_file, ResultCode::SettingsUnreadable, m_problems);
+        for (const IniSection &section : document.sections) {
+            for (const IniEntry &entry : section.entries) {
+                take(section.name + "." + entry.key, entry.value, m_file, entry.line);
+            }
+        }
+        for (const SettingOverride &setting : overrides) {
+            take(setting.key, setting.value, "command line", 0);
+        }
+        checkMissing();
+        checkAddresses();
+        return m_settings;
+    }
+
+private:
+    struct Key {
+        bool required = true;
+        //! Takes the value, or says what was wanted.
+        std::function<std::optional<std::string>(const std::string &)> take;
+    };
+
+    void describeKeys()
+    {
+        m_keys["instance.id"] = nameKey([this](const std::string &v) { m_settings.instance = InstanceId(v); });
+        m_keys["instance.service"] = nameKey([this](const std::string &v) { m_settings.service = ServiceName(v); });
+        m_keys["instance.data_centre"] = nameKey([this](const std::string &v) { m_settings.dataCentre = DataCentreName(v); });
+        m_keys["listen.callers"] = addressKey(m_settings.callers);
+        m_keys["listen.egress"] = addressKey(m_settings.egress);
+        m_keys["listen.peers"] = addressKey(m_settings.peers);
+        m_keys["listen.operators"] = addressKey(m_settings.operators);
+        m_keys["backend.address"] = addressKey(m_settings.backend);
+        m_keys["platform.address"] = addressKey(m_settings.platform);
+        m_keys["peers.seeds"] = {false, [this](const std::string &v) { return takeSeeds(v); }};
+        m_keys["log.level"] = choiceKey(m_settings.logLevel, {"trace", "debug", "info", "warn", "error"});
+        m_keys["log.format"] = choiceKey(m_settings.logFormat, {"json", "text"});
+        m_keys["process.threads"] = {false, [this](const std::string &v) { return takeThreads(v); }};
+    }
+
+    static Key nameKey(std::function<void(const std::string &)> assign)
+    {
+        return {true, [assign = std::move(assign)](const std::string &value) -> std::optional<std::string> {
+                    const bool plain = std::all_of(value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
+                    if (value.empty() || !plain) {
+                        return "a name of letters, digits, '-' and '_'";
+                    }
+                    assign(value);
+                    return std::nullopt;
+                }};
+    }
+
+    static Key addressKey(Endpoint &target)
+    {
+        return {true, [&target](const std::string &value) -> std::optional<std::string> {
+                    const auto endpoint = parseEndpoint(value);
+                    if (!endpoint) {
+                        return "an address such as 127.0.0.1:9001";
+                    }
+                    target = *endpoint;
+                    return std::nullopt;
+                }};
+    }
+
+    static Key choiceKey(std::string &target, std::set<std::string> choices)
+    {
+        return {false, [&target, choices = std::move(choices)](const std::string &value) -> std::optional<std::string> {
+                    if (choices.count(value) == 0) {
+                        std::string wanted = "one of";
+                        for (const std::string &choice : choices) {
+                            wanted += " " + choice;
+                        }
+                        return wanted;
+                    }
+                    target = value;
+                    return std::nullopt;
+                }};
+    }
+
+    std::optional<std::string> takeSeeds(const std::string &value)
+    {
+        m_settings.seeds.clear();
+        for (const std::string &text : splitList(value)) {
+            const auto endpoint = parseEndpoint(text);
+            if (!endpoint) {
+                return "a list of addresses such as 10.0.0.7:9003, 10.0.0.8:9003";
+            }
+            m_settings.seeds.push_back(*endpoint);
+        }
+        return std::nullopt;
+    }
+
+    std::optional<std::string> takeThreads(const std::string &value)
+    {
+        const char *end = value.data() + value.size();
+        const auto [rest, error] = std::from_chars(value.data(), end, m_settings.threads);
+        if (error != std::errc() || rest != end || m_settings.threads < 1 || m_settings.threads > mostThreads) {
+            return "a whole number from 1 to 64";
+        }
+        return std::nullopt;
+    }
+
+    void take(const std::string &name, const std::string &value, const std::string &file, int line)
+    {
+        const auto key = m_keys.find(name);
+        if (key == m_keys.end()) {
+            m_problems.push_back({ResultCode::SettingUnknown, file, line, name, "the key is not known"});
+            return;
+        }
+        m_seen.insert(name);
+        if (const auto wanted = key->second.take(value); wanted) {
+            m_problems.push_back({ResultCode::SettingInvalid, file, line, name, "'" + value + "' is not " + *wanted});
+        }
+    }
+
+    void checkMissing()
+    {
+        for (const auto &[name, key] : m_keys) {
+            if (key.required && m_seen.count(name) == 0) {
+                m_problems.push_back({ResultCode::SettingMissing, m_file, 0, name, "the key is missing"});
+            }
+        }
+    }
+
+    void checkAddresses()
+    {
+        const std::map<std::string, Endpoint> listening = {{"listen.callers", m_settings.callers},
+                                                           {"listen.egress", m_settings.egress},
+                                                           {"listen.peers", m_settings.peers},
+                                                           {"listen.operators", m_settings.operators}};
+        std::map<std::string, std::string> firstUser;
+        for (const auto &[name, endpoint] : listening) {
+            if (endpoint.port == 0) {
+                continue;
+            }
+            const auto [user, isNew] = firstUser.emplace(toText(endpoint), name);
+            if (!isNew) {
+                m_problems.push_back({ResultCode::SettingInvalid, m_file, 0, name, "the address is also that of " + user->second});
+            }
+        }
+    }
+
+    std::string m_file;
+    std::vector<Problem> &m_problems;
+    NodeSettings m_settings;
+    std::map<std::string, Key> m_keys;
+    std::set<std::string> m_seen;
+};
+
+} // namespace
+
+NodeSettings parseNodeSettings(const std::string &text, const std::string &file, const std::vector<SettingOverride> &overrides, std::vector<Problem> &problems)
+{
+    return SettingsParser(file, problems).parse(text, overrides);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/node/statedump.cpp
@@ -0,0 +1,99 @@
+#include <chervilpaddle/node/statedump.h>
+
+#include <chervilpaddle/node/nodecore.h>
+
+#include <nlohmann/json.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+using nlohmann::json;
+
+json configurationState(const NodeCore &core)
+{
+    const DocumentVersion version = core.configuration().version();
+    json state = {{"revision", version.revision.value()}, {"digest", version.digest}, {"refusedRevision", core.configuration().refusedRevision().value()}};
+    state["refusalReasons"] = json::array();
+    for (const Problem &problem : core.configuration().refusalReasons()) {
+        state["refusalReasons"].push_back(toText(problem));
+    }
+    const SyncCounters &counters = core.sync().counters();
+    state["isReader"] = core.sync().isReader();
+    state["platformReads"] = counters.reads;
+    state["platformWatches"] = counters.watches;
+    state["platformFailures"] = counters.failures;
+    state["learntFromPeers"] = counters.learntFromPeers;
+    state["learntFromPlatform"] = counters.learntFromPlatform;
+    return state;
+}
+
+json membershipState(const NodeCore &core)
+{
+    const auto list = core.membership().current();
+    json state = {{"revision", list->revision.value()}, {"digest", list->digest}, {"instances", list->instances.size()}};
+    state["ageMs"] = list->revision.value() == 0 ? -1.0 : toMilliseconds(core.clock()() - core.membership().adoptedAt());
+    return state;
+}
+
+json executorState(const NodeCore &core)
+{
+    const Executor &executor = core.executor();
+    const ExecutorCounters &counters = executor.counters();
+    return {{"running", executor.running()},
+            {"slotLimit", executor.slotLimit()},
+            {"queued", executor.queued()},
+            {"price", executor.ownPrice()},
+            {"meanServiceMs", toMilliseconds(executor.meanServiceTime())},
+            {"draining", executor.isDraining()},
+            {"arrivals", counters.arrivals},
+            {"started", counters.started},
+            {"finished", counters.finished},
+            {"shed", counters.shed},
+            {"expired", counters.expired},
+            {"duplicates", counters.duplicates},
+            {"refusedLeaving", counters.refusedLeaving},
+            {"tickets", {{"records", executor.tickets().size()}, {"minters", executor.tickets().minterCount()}, {"answerBytes", executor.tickets().answerBytes()}}}};
+}
+
+json routerState(const NodeCore &core)
+{
+    const RouterCounters &counters = core.router().counters();
+    return {{"outstanding", core.router().outstanding()},
+            {"calls", counters.calls},
+            {"attempts", counters.attempts},
+            {"repeats", counters.repeats},
+            {"refusedByPrice", counters.refusedByPrice},
+            {"resent", counters.resent},
+            {"lateAnswers", counters.lateAnswers}};
+}
+
+json linkState(const NodeCore &core)
+{
+    return {{"links", core.links().linkCount()},
+            {"connections", core.links().connectionCount()},
+            {"bytesSent", core.transport().bytesSent()},
+            {"bytesReceived", core.transport().bytesReceived()}};
+}
+
+} // namespace
+
+std::string stateDump(const NodeCore &core)
+{
+    const NodeSettings &settings = core.settings();
+    const json state = {{"instance", settings.instance.value()},
+                        {"service", settings.service.value()},
+                        {"dataCentre", settings.dataCentre.value()},
+                        {"incarnation", core.incarnation().value()},
+                        {"draining", core.isDraining()},
+                        {"drained", core.isDrained()},
+                        {"configuration", configurationState(core)},
+                        {"membership", membershipState(core)},
+                        {"executor", executorState(core)},
+                        {"router", routerState(core)},
+                        {"peers", linkState(core)}};
+    constexpr int indent = 2;
+    return state.dump(indent);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -0,0 +1,445 @@
+#include <chervilpaddle/peer/codec.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t deepestNesting = 4;
+constexpr std::size_t mostElements = 50'000;
+constexpr std::uint64_t longestDurationMicroseconds = 3'600'000'000ULL;
+constexpr int highestAllowance = 1'000;
+constexpr int hexadecimal = 16;
+
+//! Walks a frame before it is taken apart, so that nesting and element counts are bounded.
+class FrameInspector : public nlohmann::json_sax<json>
+{
+public:
+    bool null() override
+    {
+        return count();
+    }
+    bool boolean(bool /*value*/) override
+    {
+        return count();
+    }
+    bool number_integer(number_integer_t /*value*/) override
+    {
+        return count();
+    }
+    bool number_unsigned(number_unsigned_t /*value*/) override
+    {
+        return count();
+    }
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override
+    {
+        return count();
+    }
+    bool string(string_t & /*value*/) override
+    {
+        return count();
+    }
+    bool binary(binary_t & /*value*/) override
+    {
+        return count();
+    }
+    bool start_object(std::size_t /*elements*/) override
+    {
+        return enter();
+    }
+    bool key(string_t & /*value*/) override
+    {
+        return count();
+    }
+    bool end_object() override
+    {
+        return leave();
+    }
+    bool start_array(std::size_t /*elements*/) override
+    {
+        return enter();
+    }
+    bool end_array() override
+    {
+        return leave();
+    }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const nlohmann::detail::exception & /*error*/) override
+    {
+        return false;
+    }
+
+private:
+    bool count()
+    {
+        return ++m_elements <= mostElements;
+    }
+    bool enter()
+    {
+        return ++m_depth <= deepestNesting && count();
+    }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    std::size_t m_depth = 0;
+    std::size_t m_elements = 0;
+};
+
+class FrameError : public std::exception
+{
+public:
+    explicit FrameError(ResultCode code)
+        : m_code(code)
+    {
+    }
+    ResultCode code() const
+    {
+        return m_code;
+    }
+
+private:
+    ResultCode m_code;
+};
+
+json encodeTicketId(const TicketId &id)
+{
+    return json::array({id.minter.value(), id.sequence});
+}
+
+TicketId decodeTicketId(const json &value)
+{
+    return {Incarnation(value.at(0).get<std::uint64_t>()), value.at(1).get<std::uint64_t>()};
+}
+
+json encodeTicket(const Ticket &ticket)
+{
+    return json::array({ticket.id.minter.value(), ticket.id.sequence, ticket.executor.value(), ticket.executorIncarnation.value()});
+}
+
+Ticket decodeTicket(const json &value)
+{
+    return {decodeTicketId(value), InstanceId(value.at(2).get<std::string>()), Incarnation(value.at(3).get<std::uint64_t>())};
+}
+
+void encodePayload(json &value, const Payload &payload)
+{
+    value["status"] = payload.status;
+    value["type"] = payload.contentType;
+    if (payload.body) {
+        value["body"] = json::binary(std::vector<std::uint8_t>(payload.body->begin(), payload.body->end()));
+    }
+}
+
+Payload decodePayload(const json &value)
+{
+    Payload payload;
+    payload.status = value.at("status").get<int>();
+    payload.contentType = value.at("type").get<std::string>();
+    if (const auto body = value.find("body"); body != value.end()) {
+        const auto &bytes = body->get_binary();
+        if (bytes.size() > largestBodyBytes) {
+            throw FrameError(ResultCode::FrameTooLarge);
+        }
+        payload.body = std::make_shared<const std::string>(bytes.begin(), bytes.end());
+    }
+    return payload;
+}
+
+int decodeAllowance(const json &value)
+{
+    const int allowance = value.at("allowance").get<int>();
+    if (allowance < 0 || allowance > highestAllowance) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    return allowance;
+}
+
+json encodeVersion(const DocumentVersion &version)
+{
+    return json::array({version.revision.value(), version.digest});
+}
+
+DocumentVersion decodeVersion(const json &value)
+{
+    return {Revision(value.at(0).get<std::uint64_t>()), value.at(1).get<std::string>()};
+}
+
+json encode(const HelloMessage &m)
+{
+    return {{"kind", "hello"},
+            {"major", m.major},
+            {"instance", m.instance.value()},
+            {"incarnation", m.incarnation.value()},
+            {"service", m.service.value()},
+            {"dataCentre", m.dataCentre.value()},
+            {"slots", m.slots}};
+}
+
+HelloMessage decodeHello(const json &v)
+{
+    HelloMessage m;
+    m.major = v.at("major").get<int>();
+    if (m.major != peerProtocolMajor) {
+        throw FrameError(ResultCode::VersionUnsupported);
+    }
+    m.instance = InstanceId(v.at("instance").get<std::string>());
+    m.incarnation = Incarnation(v.at("incarnation").get<std::uint64_t>());
+    m.service = ServiceName(v.at("service").get<std::string>());
+    m.dataCentre = DataCentreName(v.at("dataCentre").get<std::string>());
+    m.slots = v.at("slots").get<int>();
+    return m;
+}
+
+json encode(const CallMessage &m)
+{
+    json v = {{"kind", "call"},
+              {"ticket", encodeTicket(m.ticket)},
+              {"request", m.context.request.value()},
+              {"customer", m.context.customer.value()},
+              {"operation", m.context.operation.value()},
+              {"rank", m.context.rank},
+              {"depth", m.context.depth},
+              {"repeated", m.context.branchRepeated},
+              {"idempotent", m.context.idempotent},
+              {"remaining", std::max<std::int64_t>(0, m.remaining.count())},
+              {"allowance", m.allowance}};
+    encodePayload(v, m.payload);
+    return v;
+}
+
+CallMessage decodeCall(const json &v)
+{
+    CallMessage m;
+    m.ticket = decodeTicket(v.at("ticket"));
+    m.context.request = RequestId(v.at("request").get<std::string>());
+    m.context.customer = CustomerName(v.at("customer").get<std::string>());
+    m.context.operation = OperationName(v.at("operation").get<std::string>());
+    m.context.rank = v.at("rank").get<double>();
+    m.context.depth = v.at("depth").get<int>();
+    m.context.branchRepeated = v.at("repeated").get<bool>();
+    m.context.idempotent = v.at("idempotent").get<bool>();
+    const auto remaining = v.at("remaining").get<std::uint64_t>();
+    constexpr double highestRank = 1001;
+    if (remaining > longestDurationMicroseconds || !(m.context.rank >= 0 && m.context.rank <= highestRank)) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    m.remaining = Duration(static_cast<std::int64_t>(remaining));
+    m.allowance = decodeAllowance(v);
+    m.payload = decodePayload(v);
+    return m;
+}
+
+json encode(const AnswerMessage &m)
+{
+    json v = {{"kind", "answer"},
+              {"ticket", encodeTicketId(m.ticket)},
+              {"code", static_cast<int>(m.code)},
+              {"allowance", m.allowance},
+              {"price", m.price}};
+    encodePayload(v, m.payload);
+    return v;
+}
+
+AnswerMessage decodeAnswer(const json &v)
+{
+    AnswerMessage m;
+    m.ticket = decodeTicketId(v.at("ticket"));
+    const int number = v.at("code").get<int>();
+    constexpr int firstCallCode = 1000;
+    constexpr int lastCallCode = 3999;
+    if (number < firstCallCode || number > lastCallCode || findResultCode(number) == nullptr) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    m.code = static_cast<ResultCode>(number);
+    m.allowance = decodeAllowance(v);
+    m.price = v.at("price").get<double>();
+    m.payload = decodePayload(v);
+    return m;
+}
+
+json encode(const CancelMessage &m)
+{
+    return {{"kind", "cancel"}, {"ticket", encodeTicketId(m.ticket)}};
+}
+
+json encode(const VoidMessage &m)
+{
+    return {{"kind", "void"}, {"ticket", encodeTicket(m.ticket)}};
+}
+
+json encode(const StatusMessage &m)
+{
+    return {{"kind", "status"},
+            {"draining", m.draining},
+            {"drainSeen", m.drainSeen},
+            {"incarnation", m.incarnation.value()},
+            {"configuration", encodeVersion(m.configuration)},
+            {"instances", encodeVersion(m.instances)}};
+}
+
+StatusMessage decodeStatus(const json &v)
+{
+    StatusMessage m;
+    m.draining = v.at("draining").get<bool>();
+    m.drainSeen = v.value("drainSeen", false);
+    m.incarnation = Incarnation(v.at("incarnation").get<std::uint64_t>());
+    m.configuration = decodeVersion(v.at("configuration"));
+    m.instances = decodeVersion(v.at("instances"));
+    return m;
+}
+
+json encodeTexts(const std::map<CustomerName, std::string> &texts)
+{
+    json v = json::object();
+    for (const auto &[customer, text] : texts) {
+        v[customer.value()] = text;
+    }
+    return v;
+}
+
+std::map<CustomerName, std::string> decodeTexts(const json &v)
+{
+    std::map<CustomerName, std::string> texts;
+    for (const auto &[customer, text] : v.items()) {
+        texts[CustomerName(customer)] = text.get<std::string>();
+    }
+    return texts;
+}
+
+json encode(const ConfigurationRequest &m)
+{
+    return {{"kind", "getConfiguration"}, {"held", m.heldRevision.value()}, {"digests", encodeTexts(m.heldDigests)}};
+}
+
+json encode(const ConfigurationMessage &m)
+{
+    return {{"kind", "configuration"}, {"manifest", m.manifest}, {"contracts", encodeTexts(m.texts)}};
+}
+
+json encode(const InstancesRequest &m)
+{
+    return {{"kind", "getInstances"}, {"held", m.heldRevision.value()}};
+}
+
+json encode(const InstancesMessage &m)
+{
+    return {{"kind", "instances"}, {"document", m.document}};
+}
+
+PeerMessage decodeMessage(const json &v)
+{
+    const auto kind = v.at("kind").get<std::string>();
+    if (kind == "call") {
+        return decodeCall(v);
+    }
+    if (kind == "answer") {
+        return decodeAnswer(v);
+    }
+    if (kind == "status") {
+        return decodeStatus(v);
+    }
+    if (kind == "hello") {
+        return decodeHello(v);
+    }
+    if (kind == "cancel") {
+        return CancelMessage{decodeTicketId(v.at("ticket"))};
+    }
+    if (kind == "void") {
+        return VoidMessage{decodeTicket(v.at("ticket"))};
+    }
+    if (kind == "getConfiguration") {
+        return ConfigurationRequest{Revision(v.at("held").get<std::uint64_t>()), decodeTexts(v.at("digests"))};
+    }
+    if (kind == "configuration") {
+        return ConfigurationMessage{v.at("manifest").get<std::string>(), decodeTexts(v.at("contracts"))};
+    }
+    if (kind == "getInstances") {
+        return InstancesRequest{Revision(v.at("held").get<std::uint64_t>())};
+    }
+    if (kind == "instances") {
+        return InstancesMessage{v.at("document").get<std::string>()};
+    }
+    throw FrameError(ResultCode::FrameMalformed);
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text, int base)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number, base);
+    if (error != std::errc() || rest != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string toHexadecimal(std::uint64_t number)
+{
+    char text[17] = {};
+    std::to_chars(text, text + sizeof text - 1, number, hexadecimal);
+    return text;
+}
+
+} // namespace
+
+std::string encodeFrame(const PeerFrame &frame)
+{
+    json value = std::visit([](const auto &message) { return encode(message); }, frame.message);
+    value["sent"] = frame.sentAt.time_since_epoch().count();
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+std::error_code decodeFrame(const std::string &bytes, PeerFrame &frame)
+{
+    if (bytes.size() > largestFrameBytes) {
+        return ResultCode::FrameTooLarge;
+    }
+    FrameInspector inspector;
+    try {
+        if (!json::sax_parse(bytes, &inspector, json::input_format_t::cbor)) {
+            return ResultCode::FrameMalformed;
+        }
+        const json value = json::from_cbor(bytes);
+        frame.message = decodeMessage(value);
+        frame.sentAt = TimePoint(Duration(value.at("sent").get<std::int64_t>()));
+    } catch (const FrameError &error) {
+        return error.code();
+    } catch (const std::exception &) {
+        return ResultCode::FrameMalformed;
+    }
+    return {};
+}
+
+std::string formatTicket(const Ticket &ticket)
+{
+    return ticket.executor.value() + "/" + toHexadecimal(ticket.executorIncarnation.value()) + "/" + toHexadecimal(ticket.id.minter.value()) + "/"
+        + std::to_string(ticket.id.sequence);
+}
+
+std::optional<Ticket> parseTicket(const std::string &text)
+{
+    const auto first = text.find('/');
+    const auto second = first == std::string::npos ? first : text.find('/', first + 1);
+    const auto third = second == std::string::npos ? second : text.find('/', second + 1);
+    if (third == std::string::npos || first == 0) {
+        return std::nullopt;
+    }
+    const auto incarnation = parseNumber(text.substr(first + 1, second - first - 1), hexadecimal);
+    const auto minter = parseNumber(text.substr(second + 1, third - second - 1), hexadecimal);
+    constexpr int decimal = 10;
+    const auto sequence = parseNumber(text.substr(third + 1), decimal);
+    if (!incarnation || !minter || !sequence) {
+        return std::nullopt;
+    }
+    return Ticket{{Incarnation(*minter), *sequence}, InstanceId(text.substr(0, first)), Incarnation(*incarnation)};
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/peer/messages.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <chervilpaddle/base/clock.h>
+#include <chervilpaddle/base/ids.h>
+#include <chervilpaddle/base/resultcode.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chervilpaddle {
+
+//! The largest body of a request or an answer that passes.
+constexpr std::size_t largestBodyBytes = 8 * 1024 * 1024;
+//! The peer protocol's version; another major version is refused, an unknown field is ignored.
+constexpr int peerProtocolMajor = 1;
+
+//! Bodies are shared, not copied, between attempts.
+using Body = std::shared_ptr<const std::string>;
+
+//! Names one call for ever: minters never use a sequence number twice.
+struct TicketId {
+    Incarnation minter;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const TicketId &a, const TicketId &b)
+    {
+        return a.minter == b.minter && a.sequence == b.sequence;
+    }
+    friend bool operator<(const TicketId &a, const TicketId &b)
+    {
+        return a.minter == b.minter ? a.sequence < b.sequence : a.minter < b.minter;
+    }
+};
+
+//! Binds one call to one incarnation of one executor, so that it can run nowhere else.
+struct Ticket {
+    TicketId id;
+    InstanceId executor;
+    Incarnation executorIncarnation;
+};
+
+//! The position of a request in every queue of its call tree; higher runs first.
+//! The whole part is the worth (zero: beyond the contracted rate), the fraction comes from the request's id.
+using Rank = double;
+
+//! What every call of a request's tree inherits.
+struct CallContext {
+    RequestId request;
+    CustomerName customer;
+    OperationName operation;
+    Rank rank = 0;
+    int depth = 0;
+    //! An earlier attempt of this branch may have run.
+    bool branchRepeated = false;
+    bool idempotent = false;
+};
+
+struct Payload {
+    int status = 0;
+    std::string contentType;
+    Body body;
+};
+
+struct CallMessage {
+    Ticket ticket;
+    CallContext context;
+    //! Time left when the frame was sent.
+    Duration remaining{};
+    //! Repeats lent with the call.
+    int allowance = 0;
+    Payload payload;
+};
+
+struct AnswerMessage {
+    TicketId ticket;
+    ResultCode code = ResultCode::Done;
+    //! The unspent part of what was lent.
+    int allowance = 0;
+    //! The lowest rank that the operation's call tree admits now.
+    Rank price = 0;
+    Payload payload;
+};
+
+struct CancelMessage {
+    TicketId ticket;
+};
+
+struct VoidMessage {
+    Ticket ticket;
+};
+
+//! The first frame on a connection, both ways.
+struct HelloMessage {
+    int major = peerProtocolMajor;
+    InstanceId instance;
+    Incarnation incarnation;
+    ServiceName service;
+    DataCentreName dataCentre;
+    int slots = 0;
+};
+
+//! A document that spreads from node to node: which version the sender holds.
+struct DocumentVersion {
+    Revision revision;
+    std::string digest;
+
+    friend bool operator==(const DocumentVersion &a, const DocumentVersion &b)
+    {
+        return a.revision == b.revision && a.digest == b.digest;
+    }
+};
+
+//! Heartbeat, and news of the sender's state.
+struct StatusMessage {
+    bool draining = false;
+    //! The sender knows that the receiver is draining: no new call follows on this connection.
+    bool drainSeen = false;
+    Incarnation incarnation;
+    DocumentVersion configuration;
+    DocumentVersion instances;
+};
+
+//! Asks for a newer configuration; names the contracts already held, so that only changed ones are sent.
+struct ConfigurationRequest {
+    Revision heldRevision;
+    std::map<CustomerName, std::string> heldDigests;
+};
+
+struct ConfigurationMessage {
+    std::string manifest;
+    std::map<CustomerName, std::string> texts;
+};
+
+struct InstancesRequest {
+    Revision heldRevision;
+};
+
+struct InstancesMessage {
+    std::string document;
+};
+
+using PeerMessage = std::variant<HelloMessage,
+                                 CallMessage,
+                                 AnswerMessage,
+                                 CancelMessage,
+                                 VoidMessage,
+                                 StatusMessage,
+                                 ConfigurationRequest,
+                                 ConfigurationMessage,
+                                 InstancesRequest,
+                                 InstancesMessage>;
+
+} // namespace chervilpaddle
+
+namespace std {
+template<>
+struct hash<chervilpaddle::TicketId> {
+    size_t operator()(const chervilpaddle::TicketId &id) const noexcept
+    {
+        constexpr size_t oddMultiplier = 0x9E3779B97F4A7C15ULL;
+        return id.minter.value() ^ (id.sequence * oddMultiplier);
+    }
+};
+} // namespace std
--- /dev/null
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -0,0 +1,245 @@
+#include <chervilpaddle/transport/httpclient.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilpaddle {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint32_t largestHeader = 16 * 1024;
+constexpr std::size_t mostIdle = 128;
+
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    using Ended = std::function<void(const std::shared_ptr<Connection> &, const HttpResult &)>;
+
+    Connection(asio::io_context &context, const HttpClient::Options &options)
+        : m_stream(context)
+        , m_options(options)
+    {
+    }
+
+    bool isUsable()
+    {
+        char byte = 0;
+        const bool quiet = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return m_stream.socket().is_open() && quiet && m_buffer.size() == 0;
+    }
+
+    void connectAndSend(HttpRequest request, Duration timeout, Ended ended)
+    {
+        prepare(std::move(request), timeout, std::move(ended));
+        beast::error_code error;
+        const tcp::endpoint address(asio::ip::make_address(m_options.address.host, error), m_options.address.port);
+        m_stream.expires_after(std::min(m_options.connectTimeout, timeout));
+        m_stream.async_connect(address, [self = shared_from_this()](beast::error_code connectError) {
+            if (connectError) {
+                self->end({HttpStage::NotSent, {}, connectError == beast::error::timeout, self->m_cancelled});
+                return;
+            }
+            beast::error_code ignored;
+            self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void send(HttpRequest request, Duration timeout, Ended ended)
+    {
+        prepare(std::move(request), timeout, std::move(ended));
+        write();
+    }
+
+    void cancel()
+    {
+        m_cancelled = true;
+        m_stream.close();
+    }
+
+private:
+    void prepare(HttpRequest request, Duration timeout, Ended ended)
+    {
+        m_ended = std::move(ended);
+        m_deadline = std::chrono::steady_clock::now() + timeout;
+        m_request = {};
+        m_request.version(11);
+        m_request.method_string(request.method);
+        m_request.target(request.target);
+        m_request.set(http::field::host, toText(m_options.address));
+        for (const auto &[name, value] : request.headers.fields()) {
+            m_request.set(name, value);
+        }
+        m_request.body() = std::move(request.body);
+        m_request.prepare_payload();
+        m_parser.emplace();
+        m_parser->header_limit(largestHeader);
+        m_parser->body_limit(m_options.largestBody);
+    }
+
+    void write()
+    {
+        if (m_cancelled) {
+            end({HttpStage::NotSent, {}, false, true});
+            return;
+        }
+        m_stream.expires_at(m_deadline);
+        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            if (error) {
+                self->end({HttpStage::Sent, {}, error == beast::error::timeout, self->m_cancelled});
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void read()
+    {
+        m_stream.expires_at(m_deadline);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            self->readEnded(error);
+        });
+    }
+
+    void readEnded(beast::error_code error)
+    {
+        HttpResult result;
+        result.cancelled = m_cancelled;
+        result.timedOut = error == beast::error::timeout;
+        if (error == http::error::body_limit) {
+            result.stage = HttpStage::TooLarge;
+        } else if (error) {
+            result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
+        } else if (m_parser->get().need_eof()) {
+            // The body ends where the connection does: nobody can tell whether it is whole.
+            result.stage = HttpStage::Truncated;
+        } else {
+            result.stage = HttpStage::Whole;
+            result.response = takeResponse();
+        }
+        m_reusable = result.stage == HttpStage::Whole && m_parser->get().keep_alive();
+        end(result);
+    }
+
+    HttpResponse takeResponse()
+    {
+        auto &message = m_parser->get();
+        HttpResponse response;
+        response.status = static_cast<int>(message.result_int());
+        for (const auto &field : message) {
+            response.headers.set(std::string(field.name_string()), std::string(field.value()));
+        }
+        response.body = std::move(message.body());
+        return response;
+    }
+
+    void end(const HttpResult &result)
+    {
+        if (!m_reusable) {
+            m_stream.close();
+        } else {
+            m_stream.expires_never();
+        }
+        const auto ended = std::exchange(m_ended, nullptr);
+        ended(m_reusable ? shared_from_this() : nullptr, result);
+    }
+
+    beast::tcp_stream m_stream;
+    HttpClient::Options m_options;
+    beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::chrono::steady_clock::time_point m_deadline;
+    Ended m_ended;
+    bool m_cancelled = false;
+    bool m_reusable = false;
+};
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl>
+{
+public:
+    Impl(asio::io_context &context, Options options)
+        : m_context(context)
+        , m_options(std::move(options))
+    {
+    }
+
+    HttpRequestNumber send(HttpRequest request, Duration timeout, Callback callback)
+    {
+        const HttpRequestNumber number(++m_lastNumber);
+        auto ended = [self = shared_from_this(), number, callback = std::move(callback)](const std::shared_ptr<Connection> &reusable, const HttpResult &result) {
+            self->m_active.erase(number);
+            if (reusable && self->m_idle.size() < mostIdle) {
+                self->m_idle.push_back(reusable);
+            }
+            callback(result);
+        };
+        if (auto connection = takeIdle(); connection) {
+            m_active[number] = connection;
+            connection->send(std::move(request), timeout, std::move(ended));
+            return number;
+        }
+        auto connection = std::make_shared<Connection>(m_context, m_options);
+        m_active[number] = connection;
+        connection->connectAndSend(std::move(request), timeout, std::move(ended));
+        return number;
+    }
+
+    void cancel(HttpRequestNumber number)
+    {
+        if (const auto active = m_active.find(number); active != m_active.end()) {
+            active->second->cancel();
+        }
+    }
+
+private:
+    std::shared_ptr<Connection> takeIdle()
+    {
+        while (!m_idle.empty()) {
+            auto connection = m_idle.back();
+            m_idle.pop_back();
+            if (connection->isUsable()) {
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
+    asio::io_context &m_context;
+    Options m_options;
+    std::uint64_t m_lastNumber = 0;
+    std::unordered_map<HttpRequestNumber, std::shared_ptr<Connection>> m_active;
+    std::vector<std::shared_ptr<Connection>> m_idle;
+};
+
+HttpClient::HttpClient(boost::asio::io_context &context, Options options)
+    : m_impl(std::make_shared<Impl>(context, std::move(options)))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpRequestNumber HttpClient::send(HttpRequest request, Duration timeout, Callback callback)
+{
+    return m_impl->send(std::move(request), timeout, std::move(callback));
+}
+
+void HttpClient::cancel(HttpRequestNumber number)
+{
+    m_impl->cancel(number);
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/transport/httpmessage.cpp
@@ -0,0 +1,24 @@
+#include <chervilpaddle/transport/httpmessage.h>
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace chervilpaddle {
+
+void HttpHeaders::set(const std::string &name, const std::string &value)
+{
+    m_fields.emplace_back(name, value);
+}
+
+const std::string *HttpHeaders::find(const std::string &name) const
+{
+    const auto field = std::find_if(m_fields.begin(), m_fields.end(), [&](const auto &f) { return boost::algorithm::iequals(f.first, name); });
+    return field == m_fields.end() ? nullptr : &field->second;
+}
+
+const std::vector<std::pair<std::string, std::string>> &HttpHeaders::fields() const
+{
+    return m_fields;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -0,0 +1,399 @@
+#include <chervilpaddle/transport/httpserver.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chervilpaddle/base/resultcode.h>
+#include <chrono>
+#include <optional>
+#include <sys/socket.h>
+
+namespace chervilpaddle {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint32_t largestHeader = 16 * 1024;
+constexpr auto arrivalTimeout = std::chrono::seconds(10);
+constexpr auto idleTimeout = std::chrono::seconds(75);
+constexpr auto writeTimeout = std::chrono::seconds(30);
+
+//! Shared by all connections of a server.
+struct ServerState {
+    HttpServer::Options options;
+    HttpServer::Handler handler;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::int64_t> bodyBytes{0};
+    std::atomic<bool> closing{false};
+};
+
+//! A part of the memory for bodies, given back at the end of a request.
+class BodyReservation
+{
+public:
+    explicit BodyReservation(ServerState &state)
+        : m_state(state)
+    {
+    }
+    ~BodyReservation()
+    {
+        release();
+    }
+    BodyReservation(const BodyReservation &) = delete;
+    BodyReservation &operator=(const BodyReservation &) = delete;
+
+    bool reserve(std::size_t bytes)
+    {
+        const auto wanted = static_cast<std::int64_t>(bytes);
+        const auto limit = static_cast<std::int64_t>(m_state.options.mostBodyBytes);
+        if (m_state.bodyBytes.fetch_add(wanted) + wanted > limit) {
+            m_state.bodyBytes.fetch_sub(wanted);
+            return false;
+        }
+        m_bytes += wanted;
+        return true;
+    }
+    void release()
+    {
+        m_state.bodyBytes.fetch_sub(m_bytes);
+        m_bytes = 0;
+    }
+
+private:
+    ServerState &m_state;
+    std::int64_t m_bytes = 0;
+};
+
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(tcp::socket socket, std::shared_ptr<ServerState> state)
+        : m_stream(std::move(socket))
+        , m_state(std::move(state))
+        , m_reservation(*m_state)
+    {
+        ++m_state->connections;
+    }
+    ~Session()
+    {
+        --m_state->connections;
+    }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void start()
+    {
+        beast::error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        waitForRequest();
+    }
+
+    //! Any thread.
+    void respond(std::uint64_t exchange, HttpResponse response)
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
+            if (self->m_exchange == exchange && self->m_handling) {
+                self->m_handling = false;
+                self->write(std::move(response));
+            }
+        });
+    }
+
+    void onDisconnect(std::function<void()> handler)
+    {
+        m_disconnectHandler = std::move(handler);
+    }
+
+private:
+    void waitForRequest()
+    {
+        m_reservation.release();
+        if (m_buffer.size() > 0) {
+            readHeader();
+            return;
+        }
+        m_idleTimer.expires_after(idleTimeout);
+        m_idleTimer.async_wait([self = shared_from_this()](beast::error_code error) {
+            if (!error) {
+                self->close();
+            }
+        });
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+            self->m_idleTimer.cancel();
+            if (!error) {
+                self->readHeader();
+            }
+        });
+    }
+
+    void readHeader()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(largestHeader);
+        m_parser->body_limit(m_state->options.largestBody);
+        m_stream.expires_after(arrivalTimeout);
+        http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            error ? self->readFailed(error) : self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        const auto length = m_parser->content_length();
+        const std::size_t expected = length ? static_cast<std::size_t>(*length) : (m_parser->chunked() ? m_state->options.largestBody : 0);
+        if (expected > m_state->options.largestBody) {
+            refuse(ResultCode::BodyTooLarge);
+            return;
+        }
+        if (!m_reservation.reserve(expected)) {
+            refuse(ResultCode::Shed);
+            return;
+        }
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            error ? self->readFailed(error) : self->handle();
+        });
+    }
+
+    void readFailed(beast::error_code error)
+    {
+        if (error == http::error::body_limit) {
+            refuse(ResultCode::BodyTooLarge);
+        } else if (error == http::error::end_of_stream || error == beast::error::timeout || error.category() == asio::error::get_system_category()
+                   || error.category() == asio::error::get_misc_category()) {
+            close();
+        } else {
+            refuse(ResultCode::Malformed);
+        }
+    }
+
+    void refuse(ResultCode code)
+    {
+        const ResultCodeRow &row = describe(code);
+        HttpResponse response;
+        response.status = row.httpStatus;
+        response.headers.set(headers::outcome, outcomeName(outcomeOf(code)));
+        response.headers.set(headers::code, std::to_string(static_cast<int>(code)));
+        response.body = row.meaning;
+        response.close = true;
+        write(std::move(response));
+    }
+
+    void handle();
+
+    //! While a request is handled nothing is read; an end of the stream is seen by looking without reading.
+    void watchForDisconnect()
+    {
+        m_stream.expires_never();
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](beast::error_code error) {
+            if (!error && self->m_handling && self->m_exchange == exchange && self->peerHasClosed()) {
+                self->m_handling = false;
+                self->close();
+                if (auto handler = std::move(self->m_disconnectHandler); handler) {
+                    handler();
+                }
+            }
+        });
+    }
+
+    bool peerHasClosed()
+    {
+        char byte = 0;
+        return ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+    }
+
+    void write(HttpResponse response)
+    {
+        m_disconnectHandler = nullptr;
+        m_response = std::make_unique<http::response<http::string_body>>();
+        m_response->result(static_cast<unsigned>(response.status));
+        for (const auto &[name, value] : response.headers.fields()) {
+            m_response->set(name, value);
+        }
+        m_response->body() = std::move(response.body);
+        const bool wanted = m_parser && m_parser->is_header_done() && m_parser->get().keep_alive();
+        m_response->keep_alive(wanted && !response.close && !m_state->closing);
+        m_response->prepare_payload();
+        m_stream.expires_after(writeTimeout);
+        http::async_write(m_stream, *m_response, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            const bool keep = !error && self->m_response->keep_alive();
+            self->m_response.reset();
+            keep ? self->waitForRequest() : self->finishAndClose();
+        });
+    }
+
+    //! Lets the caller read what was sent even where it is still sending.
+    void finishAndClose()
+    {
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_idleTimer.expires_after(std::chrono::milliseconds(200));
+        m_idleTimer.async_wait([self = shared_from_this()](beast::error_code /*error*/) { self->close(); });
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        m_idleTimer.cancel();
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+    }
+
+    beast::tcp_stream m_stream;
+    asio::steady_timer m_idleTimer{m_stream.get_executor()};
+    std::shared_ptr<ServerState> m_state;
+    BodyReservation m_reservation;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::unique_ptr<http::response<http::string_body>> m_response;
+    std::function<void()> m_disconnectHandler;
+    std::uint64_t m_exchange = 0;
+    bool m_handling = false;
+};
+
+class SessionExchange : public HttpExchange
+{
+public:
+    SessionExchange(std::shared_ptr<Session> session, std::uint64_t number, HttpRequest request)
+        : m_session(std::move(session))
+        , m_number(number)
+        , m_request(std::move(request))
+    {
+    }
+    const HttpRequest &request() const override
+    {
+        return m_request;
+    }
+    std::string takeBody() override
+    {
+        return std::move(m_request.body);
+    }
+    void respond(HttpResponse response) override
+    {
+        m_session->respond(m_number, std::move(response));
+    }
+    void onDisconnect(std::function<void()> handler) override
+    {
+        m_session->onDisconnect(std::move(handler));
+    }
+
+private:
+    std::shared_ptr<Session> m_session;
+    std::uint64_t m_number;
+    HttpRequest m_request;
+};
+
+void Session::handle()
+{
+    auto &message = m_parser->get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.set(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    m_handling = true;
+    ++m_exchange;
+    m_state->handler(std::make_shared<SessionExchange>(shared_from_this(), m_exchange, std::move(request)));
+    watchForDisconnect();
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+    Impl(std::vector<asio::io_context *> contexts, Options options, Handler handler)
+        : m_contexts(std::move(contexts))
+        , m_acceptor(*m_contexts.front())
+        , m_state(std::make_shared<ServerState>())
+    {
+        m_state->options = std::move(options);
+        m_state->handler = std::move(handler);
+    }
+
+    std::error_code listen()
+    {
+        beast::error_code error;
+        const tcp::endpoint address(asio::ip::make_address(m_state->options.address.host, error), m_state->options.address.port);
+        m_acceptor.open(address.protocol(), error);
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        m_acceptor.bind(address, error);
+        if (!error) {
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return ResultCode::AddressInUse;
+        }
+        accept();
+        return {};
+    }
+
+    void stopAccepting()
+    {
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            beast::error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
+    }
+
+    void closeAfterResponses()
+    {
+        m_state->closing = true;
+    }
+
+private:
+    void accept()
+    {
+        asio::io_context &context = *m_contexts[m_nextContext++ % m_contexts.size()];
+        m_acceptor.async_accept(context, [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
+                return;
+            }
+            if (!error && self->m_state->connections < self->m_state->options.mostConnections) {
+                const auto executor = socket.get_executor();
+                asio::post(executor, [session = std::make_shared<Session>(std::move(socket), self->m_state)] { session->start(); });
+            }
+            self->accept();
+        });
+    }
+
+    std::vector<asio::io_context *> m_contexts;
+    tcp::acceptor m_acceptor;
+    std::size_t m_nextContext = 0;
+    std::shared_ptr<ServerState> m_state;
+};
+
+HttpServer::HttpServer(std::vector<boost::asio::io_context *> contexts, Options options, Handler handler)
+    : m_impl(std::make_shared<Impl>(std::move(contexts), std::move(options), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_impl->stopAccepting();
+}
+
+std::error_code HttpServer::listen()
+{
+    return m_impl->listen();
+}
+
+void HttpServer::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+void HttpServer::closeAfterResponses()
+{
+    m_impl->closeAfterResponses();
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -0,0 +1,277 @@
+#include <chervilpaddle/transport/peertransport.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <unordered_map>
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+#include <websocketpp/transport/asio/endpoint.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! A peer that takes in nothing may hold back this much before its connection is closed.
+constexpr std::size_t largestBacklog = 4 * largestFrameBytes;
+
+//! One thread runs an endpoint, so it needs no locks.
+template<typename Base>
+struct SingleThreaded : public Base {
+    using type = SingleThreaded;
+    using concurrency_type = websocketpp::concurrency::none;
+    using request_type = typename Base::request_type;
+    using response_type = typename Base::response_type;
+    using message_type = typename Base::message_type;
+    using con_msg_manager_type = typename Base::con_msg_manager_type;
+    using endpoint_msg_manager_type = typename Base::endpoint_msg_manager_type;
+    using alog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::alevel>;
+    using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
+    using rng_type = websocketpp::random::random_device::int_generator<std::uint32_t, concurrency_type>;
+
+    struct transport_config : public Base::transport_config {
+        using concurrency_type = typename SingleThreaded::concurrency_type;
+        using alog_type = typename SingleThreaded::alog_type;
+        using elog_type = typename SingleThreaded::elog_type;
+        using request_type = typename SingleThreaded::request_type;
+        using response_type = typename SingleThreaded::response_type;
+        using socket_type = websocketpp::transport::asio::basic_socket::endpoint;
+        static const bool enable_multithreading = false;
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+
+    static const std::size_t max_message_size = largestFrameBytes;
+    static const long timeout_open_handshake = 5000;
+    static const long timeout_close_handshake = 500;
+};
+
+using Server = websocketpp::server<SingleThreaded<websocketpp::config::core>>;
+using Client = websocketpp::client<SingleThreaded<websocketpp::config::core_client>>;
+using websocketpp::connection_hdl;
+
+} // namespace
+
+class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl>
+{
+public:
+    Impl(boost::asio::io_context &context, Hooks hooks)
+        : m_context(context)
+        , m_hooks(std::move(hooks))
+    {
+        prepare(m_server);
+        prepare(m_client);
+        m_server.set_reuse_addr(true);
+        m_server.set_open_handler([this](const connection_hdl &handle) {
+            const ConnectionId id(++m_lastId);
+            const auto connection = m_server.get_con_from_hdl(handle);
+            setNoDelay(*connection);
+            attach(*connection, id);
+            m_inbound[id] = handle;
+            m_hooks.opened(id, true);
+        });
+    }
+
+    std::error_code listen(const Endpoint &address)
+    {
+        websocketpp::lib::error_code error;
+        m_server.listen(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(address.host), address.port), error);
+        if (error) {
+            return ResultCode::AddressInUse;
+        }
+        m_server.start_accept(error);
+        return error ? std::error_code(ResultCode::AddressInUse) : std::error_code();
+    }
+
+    ConnectionId dial(const Endpoint &address)
+    {
+        const ConnectionId id(++m_lastId);
+        websocketpp::lib::error_code error;
+        const auto connection = m_client.get_connection("ws://" + toText(address) + "/peer", error);
+        if (error) {
+            boost::asio::post(m_context, [self = shared_from_this(), id] { self->m_hooks.closed(id); });
+            return id;
+        }
+        connection->set_open_handler([this, id, connection](const connection_hdl & /*handle*/) {
+            setNoDelay(*connection);
+            m_hooks.opened(id, false);
+        });
+        connection->set_fail_handler([this, id](const connection_hdl & /*handle*/) { forget(id); });
+        attach(*connection, id);
+        m_outbound[id] = connection->get_handle();
+        m_client.connect(connection);
+        return id;
+    }
+
+    void send(ConnectionId id, const PeerMessage &message)
+    {
+        const std::string bytes = encodeFrame({message, m_hooks.clock()});
+        m_bytesSent += bytes.size();
+        websocketpp::lib::error_code error;
+        if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
+            sendOn(m_client, outbound->second, id, bytes);
+        } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            sendOn(m_server, inbound->second, id, bytes);
+        }
+    }
+
+    void close(ConnectionId id)
+    {
+        boost::asio::post(m_context, [self = shared_from_this(), id] { self->closeNow(id); });
+    }
+
+    void shutdown()
+    {
+        websocketpp::lib::error_code ignored;
+        m_server.stop_listening(ignored);
+        std::vector<ConnectionId> ids;
+        for (const auto &entry : m_outbound) {
+            ids.push_back(entry.first);
+        }
+        for (const auto &entry : m_inbound) {
+            ids.push_back(entry.first);
+        }
+        for (const ConnectionId id : ids) {
+            closeNow(id);
+        }
+    }
+
+    std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
+
+private:
+    template<typename EndpointType>
+    void prepare(EndpointType &endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&m_context);
+    }
+
+    template<typename ConnectionType>
+    void attach(ConnectionType &connection, ConnectionId id)
+    {
+        connection.set_message_handler([this, id](const connection_hdl & /*handle*/, const auto &message) { received(id, message->get_payload()); });
+        connection.set_close_handler([this, id](const connection_hdl & /*handle*/) { forget(id); });
+    }
+
+    template<typename ConnectionType>
+    static void setNoDelay(ConnectionType &connection)
+    {
+        boost::system::error_code ignored;
+        connection.get_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    template<typename EndpointType>
+    void sendOn(EndpointType &endpoint, const connection_hdl &handle, ConnectionId id, const std::string &bytes)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (error) {
+            return;
+        }
+        if (connection->get_buffered_amount() > largestBacklog) {
+            close(id);
+            return;
+        }
+        connection->send(bytes, websocketpp::frame::opcode::binary);
+    }
+
+    void received(ConnectionId id, const std::string &bytes)
+    {
+        m_bytesReceived += bytes.size();
+        PeerFrame frame;
+        if (const std::error_code error = decodeFrame(bytes, frame); error) {
+            m_hooks.refused(id, error);
+            close(id);
+            return;
+        }
+        m_hooks.received(id, frame);
+    }
+
+    void closeNow(ConnectionId id)
+    {
+        websocketpp::lib::error_code ignored;
+        if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
+            closeOn(m_client, outbound->second);
+        } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            closeOn(m_server, inbound->second);
+        }
+    }
+
+    template<typename EndpointType>
+    void closeOn(EndpointType &endpoint, const connection_hdl &handle)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (error) {
+            return;
+        }
+        if (connection->get_state() == websocketpp::session::state::open) {
+            connection->close(websocketpp::close::status::normal, "", error);
+        } else {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().close(ignored);
+        }
+    }
+
+    void forget(ConnectionId id)
+    {
+        m_outbound.erase(id);
+        m_inbound.erase(id);
+        m_hooks.closed(id);
+    }
+
+    boost::asio::io_context &m_context;
+    Hooks m_hooks;
+    Server m_server;
+    Client m_client;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<ConnectionId, connection_hdl> m_outbound;
+    std::unordered_map<ConnectionId, connection_hdl> m_inbound;
+};
+
+PeerTransport::PeerTransport(boost::asio::io_context &context, Hooks hooks)
+    : m_impl(std::make_shared<Impl>(context, std::move(hooks)))
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+std::error_code PeerTransport::listen(const Endpoint &address)
+{
+    return m_impl->listen(address);
+}
+
+ConnectionId PeerTransport::dial(const Endpoint &address)
+{
+    return m_impl->dial(address);
+}
+
+void PeerTransport::send(ConnectionId connection, const PeerMessage &message)
+{
+    m_impl->send(connection, message);
+}
+
+void PeerTransport::close(ConnectionId connection)
+{
+    m_impl->close(connection);
+}
+
+void PeerTransport::shutdown()
+{
+    m_impl->shutdown();
+}
+
+std::uint64_t PeerTransport::bytesSent() const
+{
+    return m_impl->m_bytesSent;
+}
+
+std::uint64_t PeerTransport::bytesReceived() const
+{
+    return m_impl->m_bytesReceived;
+}
+
+} // namespace chervilpaddle
