--- /dev/null
+++ b/apps/tool/callclient.cpp
@@ -0,0 +1,78 @@
+#include "callclient.h"
+
+#include <cstdlib>
+
+namespace chervilpaddle::tool {
+
+namespace {
+
+int integerHeader(const HttpResponse &response, const char *name)
+{
+    const std::string *value = response.headers.find(name);
+    return value != nullptr ? std::atoi(value->c_str()) : 0;
+}
+
+HttpRequest toHttp(const CallerRequest &request)
+{
+    HttpRequest http;
+    http.method = "POST";
+    http.target = "/" + request.operation.value();
+    http.headers.set(headers::customer, request.customer.value());
+    http.headers.set(headers::contentType, "text/plain");
+    if (!request.request.isEmpty()) {
+        http.headers.set(headers::request, request.request.value());
+    }
+    if (request.deadlineMs >= 0) {
+        http.headers.set(headers::deadline, std::to_string(request.deadlineMs));
+    }
+    if (request.attempt > 0) {
+        http.headers.set(headers::attempt, std::to_string(request.attempt));
+    }
+    if (!request.ticket.empty()) {
+        http.headers.set(headers::ticket, request.ticket);
+    }
+    http.body = request.body;
+    return http;
+}
+
+CallerResult toResult(const HttpResult &http, const CallerRequest &request)
+{
+    CallerResult result;
+    result.ticket = request.ticket;
+    if (http.stage != HttpStage::Whole) {
+        result.code = http.stage == HttpStage::NotSent ? ResultCode::NoInstance : ResultCode::AnswerLost;
+        result.outcome = outcomeOf(result.code);
+        return result;
+    }
+    result.status = http.response.status;
+    const ResultCodeRow *row = findResultCode(integerHeader(http.response, headers::code));
+    // A server that is no node answers without a code: its answer is an answer.
+    const bool fromNode = row != nullptr && row->code != ResultCode::Success;
+    result.code = fromNode ? row->code : (result.status < 500 ? ResultCode::Done : ResultCode::DoneWithError);
+    result.outcome = outcomeOf(result.code);
+    result.attempts = integerHeader(http.response, headers::attempts);
+    result.repeatsSpent = integerHeader(http.response, headers::repeats);
+    if (const std::string *ticket = http.response.headers.find(headers::ticket); ticket != nullptr) {
+        result.ticket = *ticket;
+    }
+    result.body = http.response.body;
+    return result;
+}
+
+} // namespace
+
+void sendRequest(HttpClient &client, const CallerRequest &request, Duration timeout, std::function<void(const CallerResult &)> done)
+{
+    client.send(toHttp(request), timeout, [&client, request, timeout, done = std::move(done)](const HttpResult &http) {
+        const CallerResult result = toResult(http, request);
+        if (result.code != ResultCode::TicketRequired || result.ticket.empty()) {
+            done(result);
+            return;
+        }
+        CallerRequest withTicket = request;
+        withTicket.ticket = result.ticket;
+        sendRequest(client, withTicket, timeout, done);
+    });
+}
+
+} // namespace chervilpaddle::tool
--- a/src/chervilpaddle/base/inidocument.cpp
+++ b/src/chervilpaddle/base/inidocument.cpp
@@ -15,6 +15,7 @@
 struct ParseState {
     std::istringstream input;
     int line = 0;
+    bool indented = false;
     IniDocument document;
     std::vector<Problem> *problems = nullptr;
     ResultCode unreadable = ResultCode::SettingsUnreadable;
@@ -25,7 +26,7 @@
     state.problems->push_back({state.unreadable, state.document.file, line, key, reason});
 }
 
-//! Hands inih one line at a time, trimmed so that it never takes an indented line for a continuation.
+//! Hands inih one line at a time. An indented line continues the value of the entry above it.
 char *nextLine(char *buffer, int size, void *stream)
 {
     auto &state = *static_cast<ParseState *>(stream);
@@ -34,7 +35,8 @@
         return nullptr;
     }
     ++state.line;
-    line = trimmed(line);
+    state.indented = !line.empty() && (line.front() == ' ' || line.front() == '\t');
+    line = (state.indented ? " " : "") + trimmed(line);
     if (line.size() > std::min(longestLine, static_cast<std::size_t>(size) - 2)) {
         report(state, state.line, {}, "the line is too long");
         line.clear();
@@ -66,6 +68,10 @@
 {
     auto &state = *static_cast<ParseState *>(user);
     IniSection &target = sectionFor(state, section);
+    if (state.indented && !target.entries.empty() && target.entries.back().key == key) {
+        target.entries.back().value += std::string(" ") + value;
+        return 1;
+    }
     if (target.find(key) != nullptr) {
         report(state, state.line, key, "the key is given twice");
     }
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -56,6 +56,7 @@
     Pending &pending = m_pending[id];
     pending.call = std::move(call);
     pending.completion = std::move(completion);
+    pending.allowanceBefore = pending.call.allowance->held();
     const TimePoint now = m_hooks.clock();
     if (deadline <= now) {
         finish(id, ResultCode::DeadlinePast, {});
@@ -260,7 +261,8 @@
     auto node = m_pending.extract(id);
     Pending &pending = node.mapped();
     closeAttempt(pending);
-    const CallResult result{code, payload, pending.attempts};
+    const int spent = std::max(0, pending.allowanceBefore - pending.call.allowance->held());
+    const CallResult result{code, payload, pending.attempts, spent};
     pending.completion(result);
 }
 
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -32,6 +32,8 @@
     ResultCode code = ResultCode::Done;
     Payload payload;
     int attempts = 0;
+    //! What of the held allowance was spent here, below, or lost with an answer.
+    int repeatsSpent = 0;
 };
 
 //! Counters of a router since its start.
@@ -95,6 +97,7 @@
         OutboundCall call;
         Completion completion;
         std::set<InstanceId> tried;
+        int allowanceBefore = 0;
         int attempts = 0;
         bool mayHaveRun = false;
         ResultCode lastCode = ResultCode::NoInstance;
--- a/src/chervilpaddle/node/callresponse.cpp
+++ b/src/chervilpaddle/node/callresponse.cpp
@@ -16,6 +16,7 @@
     response.headers.set(headers::code, std::to_string(static_cast<int>(result.code)));
     response.headers.set(headers::request, request.value());
     response.headers.set(headers::attempts, std::to_string(result.attempts));
+    response.headers.set(headers::repeats, std::to_string(result.repeatsSpent));
     if (ticket) {
         response.headers.set(headers::ticket, formatTicket(*ticket));
     }
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -1,5 +1,8 @@
 #include <chervilpaddle/node/nodecore.h>
 
+#include <chervilpaddle/node/callresponse.h>
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -245,7 +248,7 @@
     const RunId runId = m_backend.parseContext(request.context);
     const Run *run = m_executor->findRun(runId);
     if (run == nullptr) {
-        completion({ResultCode::ContextUnknown, {}, 0});
+        completion(refusal(ResultCode::ContextUnknown));
         return CallId();
     }
     const CallContext &parent = run->call.context;
@@ -255,11 +258,11 @@
     const bool declared = parentTerms != nullptr && terms != nullptr
         && std::find(parentTerms->calls.begin(), parentTerms->calls.end(), request.operation) != parentTerms->calls.end();
     if (!declared) {
-        completion({ResultCode::OperationNotDeclared, {}, 0});
+        completion(refusal(ResultCode::OperationNotDeclared));
         return CallId();
     }
     if (parent.branchRepeated && !terms->idempotent) {
-        completion({ResultCode::BranchRepeated, {}, 0});
+        completion(refusal(ResultCode::BranchRepeated));
         return CallId();
     }
     OutboundCall call;
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -45,6 +45,7 @@
 constexpr const char *outcome = "Chervilpaddle-Outcome";
 constexpr const char *code = "Chervilpaddle-Code";
 constexpr const char *attempts = "Chervilpaddle-Attempts";
+constexpr const char *repeats = "Chervilpaddle-Repeats";
 constexpr const char *context = "Chervilpaddle-Context";
 constexpr const char *notRun = "Chervilpaddle-Not-Run";
 constexpr const char *leaving = "Chervilpaddle-Leaving";
--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,141 @@
+#include "standinbackend.h"
+#include "standinplatform.h"
+#include "standinrelay.h"
+
+#include <chervilpaddle/base/inidocument.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+
+namespace {
+
+using namespace chervilpaddle;
+using namespace chervilpaddle::standins;
+
+Endpoint endpointOrThrow(const std::string &text)
+{
+    const auto endpoint = parseEndpoint(text);
+    if (!endpoint) {
+        throw CLI::ValidationError("'" + text + "' is not an address");
+    }
+    return *endpoint;
+}
+
+int runUntilSignal(boost::asio::io_context &context)
+{
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const boost::system::error_code & /*error*/, int /*signal*/) { context.stop(); });
+    context.run();
+    return 0;
+}
+
+int reportError(std::error_code error)
+{
+    std::fprintf(stderr, "chervilpaddle-standin: %s (code %d)\n", error.message().c_str(), error.value());
+    return 1;
+}
+
+struct PlatformArguments {
+    std::string listen;
+    std::string contracts;
+    std::string instances;
+};
+
+int runPlatform(const PlatformArguments &arguments)
+{
+    boost::asio::io_context context;
+    StandinPlatform platform(context, endpointOrThrow(arguments.listen));
+    if (!arguments.contracts.empty()) {
+        platform.publishContracts(arguments.contracts);
+    }
+    if (const auto document = readFile(arguments.instances); document) {
+        platform.publishInstances(*document);
+    }
+    if (const std::error_code error = platform.listen(); error) {
+        return reportError(error);
+    }
+    return runUntilSignal(context);
+}
+
+struct BackendArguments {
+    std::string listen;
+    std::string egress;
+    std::string behaviour;
+    int slots = 1;
+    std::size_t answerBytes = 0;
+    std::uint64_t seed = 1;
+};
+
+int runBackend(const BackendArguments &arguments)
+{
+    std::vector<Problem> problems;
+    StandinBackend::Options options;
+    options.address = endpointOrThrow(arguments.listen);
+    options.egress = endpointOrThrow(arguments.egress);
+    options.slots = arguments.slots;
+    options.answerBytes = arguments.answerBytes;
+    options.seed = arguments.seed;
+    options.behaviour = parseBehaviour(readFile(arguments.behaviour).value_or(""), arguments.behaviour, problems);
+    for (const Problem &problem : problems) {
+        std::fprintf(stderr, "%s\n", toText(problem).c_str());
+    }
+    boost::asio::io_context context;
+    StandinBackend backend(context, options);
+    if (const std::error_code error = backend.listen(); error || !problems.empty()) {
+        return reportError(error);
+    }
+    return runUntilSignal(context);
+}
+
+struct RelayArguments {
+    std::string listen;
+    std::string target;
+    std::string control;
+};
+
+int runRelay(const RelayArguments &arguments)
+{
+    boost::asio::io_context context;
+    StandinRelay relay(context, {endpointOrThrow(arguments.listen), endpointOrThrow(arguments.target), endpointOrThrow(arguments.control)});
+    if (const std::error_code error = relay.listen(); error) {
+        return reportError(error);
+    }
+    return runUntilSignal(context);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Small stand-ins for what surrounds chervilpaddle, for demonstrations and tests"};
+    app.require_subcommand(1);
+
+    PlatformArguments platform;
+    auto *platformCommand = app.add_subcommand("platform", "A configuration service that is read and watched");
+    platformCommand->add_option("--listen", platform.listen)->required();
+    platformCommand->add_option("--contracts", platform.contracts, "Directory of contracts to publish");
+    platformCommand->add_option("--instances", platform.instances, "File with the instance list (JSON)");
+
+    BackendArguments backend;
+    auto *backendCommand = app.add_subcommand("backend", "A backend server");
+    backendCommand->add_option("--listen", backend.listen)->required();
+    backendCommand->add_option("--egress", backend.egress, "The node's address for outbound calls")->required();
+    backendCommand->add_option("--behaviour", backend.behaviour, "File with the operations (INI)")->required();
+    backendCommand->add_option("--slots", backend.slots);
+    backendCommand->add_option("--answer-bytes", backend.answerBytes);
+    backendCommand->add_option("--seed", backend.seed);
+
+    RelayArguments relay;
+    auto *relayCommand = app.add_subcommand("relay", "Passes TCP connections on; can cut, delay or silence them");
+    relayCommand->add_option("--listen", relay.listen)->required();
+    relayCommand->add_option("--target", relay.target)->required();
+    relayCommand->add_option("--control", relay.control)->required();
+
+    CLI11_PARSE(app, argc, argv);
+    if (*platformCommand) {
+        return runPlatform(platform);
+    }
+    return *backendCommand ? runBackend(backend) : runRelay(relay);
+}
