Prove the decisions in tests and measure them against baselines in virtual time

Found: an idle link's last frame may be two seconds old, so the first call after a rest saw it as silent at once, raced a new link and re-sent; the allowance lent with the first frame counted as spent. Ruled out: the executor (no shed, no expired), the router (no repeats counted). Change: silence counts from when calls began to wait.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,168 @@
+#include "scenario.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+namespace {
+
+using namespace chervilpaddle;
+using namespace chervilpaddle::bench;
+
+std::vector<RootKind> mixedKinds()
+{
+    return {{"payout", 900, 0.1, "s0.run"}, {"status", 300, 0.3, "s0.run"}, {"browse", 100, 0.6, "s0.run"}};
+}
+
+Scenario base(const std::string &name)
+{
+    Scenario scenario;
+    scenario.name = name;
+    scenario.kinds = mixedKinds();
+    return scenario;
+}
+
+std::vector<Scenario> scenarios(bool quick)
+{
+    std::vector<Scenario> all;
+    Scenario steady = base("steady 0.7");
+    Scenario surge2 = base("surge 2x");
+    surge2.pressureLoad = 2;
+    Scenario surge5 = base("surge 5x");
+    surge5.pressureLoad = 5;
+    if (quick) {
+        return {surge2};
+    }
+    Scenario slow = base("deep slow 3x, surge 1.4x");
+    slow.pressureLoad = 1.4;
+    slow.deepSlowdown = 3;
+    slow.callerRepeats = 5;
+    Scenario slowSteady = base("deep slow 3x at 0.7");
+    slowSteady.deepSlowdown = 3;
+    Scenario cold = base("a third replaced at 0.9");
+    cold.steadyLoad = 0.9;
+    cold.pressureLoad = 0.9;
+    cold.replaceThird = true;
+    Scenario two = base("surge 2x, 2 deep");
+    two.depth = 2;
+    two.pressureLoad = 2;
+    Scenario five = base("surge 2x, 5 deep");
+    five.depth = 5;
+    five.pressureLoad = 2;
+    Scenario deep = base("surge 2x, 21 deep");
+    deep.depth = 21;
+    deep.pressureLoad = 2;
+    deep.serviceTime = std::chrono::milliseconds(10);
+    deep.slots = 4;
+    return {steady, surge2, surge5, slow, slowSteady, cold, two, five, deep};
+}
+
+std::vector<Variant> variants(bool ablations)
+{
+    std::vector<Variant> all = {{"a direct", directPolicy()}, {"b usual", usualPolicy()}, {"c full", fullPolicy()}};
+    if (!ablations) {
+        return all;
+    }
+    Variant noPrice{"c - price", fullPolicy()};
+    noPrice.policy.price = false;
+    Variant noWorth{"c - worth order", fullPolicy()};
+    noWorth.policy.worthOrder = false;
+    Variant noAllowance{"c - allowance", fullPolicy()};
+    noAllowance.policy.allowance = false;
+    Variant noDeadline{"c - deadline drop", fullPolicy()};
+    noDeadline.policy.deadlineDrop = false;
+    all.insert(all.end(), {noPrice, noWorth, noAllowance, noDeadline});
+    return all;
+}
+
+struct Spread {
+    double low = 0;
+    double median = 0;
+    double high = 0;
+};
+
+Spread spreadOf(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return {values.front(), values[values.size() / 2], values.back()};
+}
+
+template<typename Member>
+Spread spreadOf(const std::vector<Outcome> &outcomes, Member member)
+{
+    std::vector<double> values;
+    for (const Outcome &outcome : outcomes) {
+        values.push_back(static_cast<double>(outcome.*member));
+    }
+    return spreadOf(std::move(values));
+}
+
+void printRow(const Scenario &scenario, const Variant &variant, const std::vector<Outcome> &outcomes)
+{
+    const Spread goodput = spreadOf(outcomes, &Outcome::goodputShare);
+    const Spread recovery = spreadOf(outcomes, &Outcome::recoverySeconds);
+    const bool recovers = recovery.low >= 0;
+    char recoveryText[32] = {};
+    std::snprintf(recoveryText, sizeof recoveryText, recovers ? "%.1f" : "never", recovery.high);
+    std::printf("| %s | %s | %.3f (%.3f-%.3f) | %.3f | %.4f | %.3f | %s | %.0f |\n",
+                scenario.name.c_str(),
+                variant.name.c_str(),
+                goodput.median,
+                goodput.low,
+                goodput.high,
+                spreadOf(outcomes, &Outcome::worthShare).median,
+                spreadOf(outcomes, &Outcome::topServed).median,
+                spreadOf(outcomes, &Outcome::wasted).median,
+                recoveryText,
+                spreadOf(outcomes, &Outcome::mostRuns).high);
+    std::fflush(stdout);
+}
+
+void writeTimeline(const std::string &path, const std::string &variant, const std::vector<double> &goodput)
+{
+    std::ofstream file(path, std::ios::app);
+    for (std::size_t i = 0; i < goodput.size(); ++i) {
+        file << variant << ',' << static_cast<double>(i) / 10 << ',' << goodput[i] << '\n';
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    bool quick = false;
+    bool ablations = false;
+    int seeds = 5;
+    std::string only;
+    std::string timeline;
+    CLI::App app{"Measures the decisions in virtual time against two baselines, on the same seeds"};
+    app.add_flag("--quick", quick, "Only the surge, three seeds");
+    app.add_flag("--ablations", ablations, "Also the design less each mechanism");
+    app.add_option("--seeds", seeds);
+    app.add_option("--only", only, "Only scenarios whose name holds this");
+    app.add_option("--timeline", timeline, "Appends the goodput over time of the first seed to a CSV file");
+    CLI11_PARSE(app, argc, argv);
+    if (quick) {
+        seeds = std::min(seeds, 3);
+    }
+
+    std::printf("| case | variant | goodput of capacity, median (spread) | worth of best | top worth served | wasted | recovery s | most runs a root |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const Scenario &scenario : scenarios(quick)) {
+        if (scenario.name.find(only) == std::string::npos) {
+            continue;
+        }
+        for (const Variant &variant : variants(ablations)) {
+            std::vector<Outcome> outcomes;
+            for (int seed = 1; seed <= seeds; ++seed) {
+                outcomes.push_back(runScenario(scenario, variant, static_cast<std::uint64_t>(seed)));
+            }
+            printRow(scenario, variant, outcomes);
+            if (!timeline.empty()) {
+                writeTimeline(timeline, scenario.name + "," + variant.name, outcomes.front().goodputPerSecond);
+            }
+        }
+    }
+    return 0;
+}
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -252,6 +252,9 @@
 
 void Executor::cancel(const TicketId &ticket)
 {
+    if (!m_options.policy.deadlineDrop) {
+        return;
+    }
     if (m_waiting.count(ticket) != 0) {
         dropQueued(ticket, ResultCode::CancelledBeforeStart);
         return;
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -247,8 +247,10 @@
         return;
     }
     const bool busy = m_hooks.hasOutstanding(peer.published.instance);
-    const Duration silence = now - connection->second.lastHeard;
-    const bool silent = silence > (busy ? busySilence : idleSilence);
+    peer.busySince = busy ? peer.busySince.value_or(now) : std::optional<TimePoint>();
+    const TimePoint lastHeard = connection->second.lastHeard;
+    const bool silentWhileBusy = busy && now - std::max(lastHeard, *peer.busySince) > busySilence;
+    const bool silent = silentWhileBusy || now - lastHeard > idleSilence;
     if (!silent) {
         if (peer.inDoubt) {
             peer.inDoubt = false;
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -103,6 +103,8 @@
         std::optional<ConnectionId> dialing;
         //! The link is silent though calls wait: no new ones go there.
         bool inDoubt = false;
+        //! Since when calls have been waiting without a break; before that nothing had to be heard soon.
+        std::optional<TimePoint> busySince;
         bool draining = false;
         Incarnation incarnation;
         int failures = 0;
--- a/src/chervilpaddle/controllers/policyswitches.h
+++ b/src/chervilpaddle/controllers/policyswitches.h
@@ -7,6 +7,7 @@
     bool worthOrder = true;
     bool price = true;
     bool allowance = true;
+    //! Deadlines are passed on, work that cannot meet its own is dropped, and cancellation ends work below.
     bool deadlineDrop = true;
     //! With the allowance off: attempts at each hop.
     int triesPerHop = 3;
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -270,7 +270,10 @@
     call.context.operation = request.operation;
     call.context.depth = parent.depth + 1;
     call.context.idempotent = terms->idempotent;
-    call.deadline = std::min(run->deadline, m_clock() + terms->deadline);
+    call.deadline = m_clock() + terms->deadline;
+    if (m_settings.policy.deadlineDrop) {
+        call.deadline = std::min(call.deadline, run->deadline);
+    }
     call.payload = request.payload;
     call.allowance = run->allowance;
     const OperationName parentOperation = parent.operation;
--- /dev/null
+++ b/support/fakeservice.cpp
@@ -0,0 +1,300 @@
+#include "fakeservice.h"
+
+#include <algorithm>
+
+namespace chervilpaddle::support {
+
+namespace {
+constexpr Duration networkLatency = std::chrono::microseconds(200);
+constexpr Duration tickPeriod = std::chrono::milliseconds(5);
+constexpr double jitterShare = 0.2;
+} // namespace
+
+FakeNode::FakeNode(FakeServices &services, Candidate self, ServiceName service, int slots, const PolicySwitches &policy, std::uint64_t seed)
+    : m_services(services)
+    , m_self(std::move(self))
+    , m_service(std::move(service))
+    , m_backendSlots(slots)
+    , m_policy(policy)
+    , m_random(seed)
+{
+    Executor::Hooks executorHooks{services.time().clock(), [this](const Run &run) { backendStart(run); }, [this](RunId run) { cancelRun(run); }};
+    m_executor = std::make_unique<Executor>(Executor::Options{m_self.instance, m_self.incarnation, slots, policy, {}}, std::move(executorHooks));
+    Router::Hooks routerHooks;
+    routerHooks.clock = services.time().clock();
+    routerHooks.schedule = [this](Duration delay, std::function<void()> action) {
+        m_services.time().after(delay, [alive = m_alive, action = std::move(action)] {
+            if (*alive) {
+                action();
+            }
+        });
+    };
+    routerHooks.candidates = [this](const ServiceName &wanted) -> const std::vector<Candidate> & { return m_services.candidates(wanted); };
+    routerHooks.send = [this](const InstanceId &to, const PeerMessage &message) { return m_services.send(*this, to, message); };
+    m_router = std::make_unique<Router>(Router::Options{m_self.dataCentre, m_self.incarnation, policy, m_random()}, std::move(routerHooks));
+    tick();
+}
+
+const Candidate &FakeNode::self() const
+{
+    return m_self;
+}
+
+const ServiceName &FakeNode::service() const
+{
+    return m_service;
+}
+
+Executor &FakeNode::executor()
+{
+    return *m_executor;
+}
+
+Router &FakeNode::router()
+{
+    return *m_router;
+}
+
+void FakeNode::kill()
+{
+    *m_alive = false;
+}
+
+bool FakeNode::isAlive() const
+{
+    return *m_alive;
+}
+
+void FakeNode::setSlowdown(double factor)
+{
+    m_slowdown = factor;
+}
+
+void FakeNode::setFailShare(double share)
+{
+    m_failShare = share;
+}
+
+void FakeNode::tick()
+{
+    m_services.time().after(tickPeriod, [this, alive = m_alive] {
+        if (*alive) {
+            m_executor->tick();
+            tick();
+        }
+    });
+}
+
+void FakeNode::backendStart(const Run &run)
+{
+    auto job = std::make_shared<Job>();
+    job->run = run;
+    m_jobs[run.id] = job;
+    if (m_working >= m_backendSlots) {
+        m_backlog.push_back(job);
+        return;
+    }
+    backendBegin(job);
+}
+
+void FakeNode::backendBegin(const std::shared_ptr<Job> &job)
+{
+    const CallContext &context = job->run.call.context;
+    ++m_working;
+    ++m_services.starts[{context.request.value(), context.operation.value()}];
+    job->since = m_services.time().now();
+    const double jitter = 1 + jitterShare * (2 * uniformFraction(m_random) - 1);
+    const Duration work = fromSeconds(toSeconds(m_services.operation(context.operation).serviceTime) * m_slowdown * jitter);
+    m_services.time().after(work, [this, alive = m_alive, job] {
+        if (*alive) {
+            backendCallNext(job);
+        }
+    });
+}
+
+void FakeNode::backendCallNext(const std::shared_ptr<Job> &job)
+{
+    if (m_jobs.count(job->run.id) == 0) {
+        return;
+    }
+    const CallContext &parent = job->run.call.context;
+    const FakeOperation &operation = m_services.operation(parent.operation);
+    if (job->nextCall == operation.calls.size()) {
+        backendEnd(job, uniformFraction(m_random) < m_failShare ? ResultCode::AnswerLost : ResultCode::Done);
+        return;
+    }
+    const OperationName childName = operation.calls[job->nextCall++];
+    const FakeOperation &child = m_services.operation(childName);
+    OutboundCall call;
+    call.context = parent;
+    call.context.operation = childName;
+    call.context.depth = parent.depth + 1;
+    call.context.idempotent = child.idempotent;
+    call.deadline = m_services.time().now() + child.deadline;
+    if (m_policy.deadlineDrop) {
+        call.deadline = std::min(call.deadline, job->run.deadline);
+    }
+    call.allowance = job->run.allowance;
+    auto id = std::make_shared<CallId>();
+    *id = m_router->call(std::move(call), [this, job, id, childName](const CallResult &result) {
+        job->children.erase(*id);
+        m_executor->recordChildPrice(job->run.call.context.operation, childName, m_router->price(childName));
+        if (result.code == ResultCode::Done) {
+            backendCallNext(job);
+        } else {
+            backendEnd(job, ResultCode::DoneWithError);
+        }
+    });
+    job->children.insert(*id);
+}
+
+void FakeNode::backendEnd(const std::shared_ptr<Job> &job, ResultCode code)
+{
+    if (m_jobs.erase(job->run.id) == 0) {
+        return;
+    }
+    if (const auto waiting = std::find(m_backlog.begin(), m_backlog.end(), job); waiting != m_backlog.end()) {
+        m_backlog.erase(waiting);
+    } else {
+        --m_working;
+        m_services.slotSeconds[job->run.call.context.request.value()] += toSeconds(m_services.time().now() - job->since);
+    }
+    BackendResult result;
+    result.code = code;
+    result.payload.status = 200;
+    result.payload.body = std::make_shared<const std::string>(job->run.call.context.request.value() + " " + job->run.call.context.operation.value());
+    m_executor->finished(job->run.id, result);
+    while (m_working < m_backendSlots && !m_backlog.empty()) {
+        const auto next = m_backlog.front();
+        m_backlog.pop_front();
+        backendBegin(next);
+    }
+}
+
+void FakeNode::cancelRun(RunId run)
+{
+    const auto job = m_jobs.find(run);
+    if (job == m_jobs.end()) {
+        return;
+    }
+    const auto held = job->second;
+    for (const CallId child : std::set<CallId>(held->children)) {
+        m_router->cancel(child);
+    }
+    // As over HTTP, the end of the run is reported later.
+    m_services.time().after(Duration::zero(), [this, alive = m_alive, held] {
+        if (*alive) {
+            backendEnd(held, ResultCode::CancelledWhileRunning);
+        }
+    });
+}
+
+FakeServices::FakeServices(VirtualTime &time, std::uint64_t seed)
+    : m_time(time)
+    , m_random(seed)
+    , m_deliver([](const InstanceId &, const InstanceId &, const PeerMessage &) { return Delivery{{networkLatency}}; })
+{
+}
+
+void FakeServices::describe(const OperationName &name, const FakeOperation &operation)
+{
+    m_operations[name] = operation;
+}
+
+const FakeOperation &FakeServices::operation(const OperationName &name) const
+{
+    return m_operations.at(name);
+}
+
+FakeNode &FakeServices::addNode(const std::string &instance, const std::string &service, const std::string &dataCentre, int slots, const PolicySwitches &policy)
+{
+    m_recipes[instance] = {service, dataCentre, slots, policy};
+    return replaceNode(instance);
+}
+
+FakeNode &FakeServices::replaceNode(const std::string &instance)
+{
+    const Recipe &recipe = m_recipes.at(instance);
+    auto &place = m_nodes[InstanceId(instance)];
+    if (place) {
+        place->kill();
+        m_ended.push_back(std::move(place));
+    }
+    const Candidate self{InstanceId(instance), Incarnation(randomIdentifier(m_random)), DataCentreName(recipe.dataCentre), false};
+    place = std::make_unique<FakeNode>(*this, self, ServiceName(recipe.service), recipe.slots, recipe.policy, m_random());
+    m_candidates.clear();
+    for (const auto &[id, node] : m_nodes) {
+        m_candidates[node->service()].push_back(node->self());
+    }
+    return *place;
+}
+
+FakeNode &FakeServices::node(const std::string &instance)
+{
+    return *m_nodes.at(InstanceId(instance));
+}
+
+std::vector<FakeNode *> FakeServices::nodes()
+{
+    std::vector<FakeNode *> all;
+    for (const auto &[id, node] : m_nodes) {
+        all.push_back(node.get());
+    }
+    return all;
+}
+
+void FakeServices::setDeliver(Deliver deliver)
+{
+    m_deliver = std::move(deliver);
+}
+
+VirtualTime &FakeServices::time()
+{
+    return m_time;
+}
+
+RandomSource &FakeServices::random()
+{
+    return m_random;
+}
+
+const std::vector<Candidate> &FakeServices::candidates(const ServiceName &service)
+{
+    return m_candidates[service];
+}
+
+bool FakeServices::send(FakeNode &from, const InstanceId &to, const PeerMessage &message)
+{
+    if (m_nodes.count(to) == 0) {
+        return false;
+    }
+    const InstanceId sender = from.self().instance;
+    for (const Duration delay : m_deliver(sender, to, message).copies) {
+        m_time.after(delay, [this, sender, to, message] { arrive(sender, to, message); });
+    }
+    return true;
+}
+
+void FakeServices::answer(const InstanceId &from, const InstanceId &to, const AnswerMessage &answer)
+{
+    for (const Duration delay : m_deliver(from, to, answer).copies) {
+        m_time.after(delay, [this, from, to, answer] { arrive(from, to, answer); });
+    }
+}
+
+void FakeServices::arrive(const InstanceId &from, const InstanceId &to, const PeerMessage &message)
+{
+    FakeNode &receiver = *m_nodes.at(to);
+    if (!receiver.isAlive()) {
+        return;
+    }
+    if (const auto *call = std::get_if<CallMessage>(&message); call != nullptr) {
+        receiver.executor().submit(*call, Duration::zero(), [this, from, to](const AnswerMessage &reply) { answer(to, from, reply); });
+    } else if (const auto *reply = std::get_if<AnswerMessage>(&message); reply != nullptr) {
+        receiver.router().answered(from, *reply);
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&message); cancel != nullptr) {
+        receiver.executor().cancel(cancel->ticket);
+    }
+}
+
+} // namespace chervilpaddle::support
