--- a/src/chervilpaddle/contract/manifestdocument.cpp
+++ b/src/chervilpaddle/contract/manifestdocument.cpp
@@ -8,6 +8,9 @@
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
     try {
+        if (!document.at("revision").is_number_unsigned()) {
+            return std::nullopt;
+        }
         Manifest manifest;
         manifest.revision = Revision(document.at("revision").get<std::uint64_t>());
         for (const auto &[customer, digest] : document.at("contracts").items()) {
--- a/src/chervilpaddle/controllers/instancelist.cpp
+++ b/src/chervilpaddle/controllers/instancelist.cpp
@@ -73,6 +73,9 @@
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
     try {
+        if (!document.at("revision").is_number_unsigned()) {
+            return std::nullopt;
+        }
         InstanceList list;
         list.revision = Revision(document.at("revision").get<std::uint64_t>());
         for (const auto &entry : document.at("instances")) {
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -1,6 +1,8 @@
 #include <chervilpaddle/peer/codec.h>
 
 #include <charconv>
+#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace chervilpaddle {
@@ -107,6 +109,41 @@
     ResultCode m_code;
 };
 
+//! The library converts between kinds of numbers without a word; a peer's frame must hold the right one.
+std::uint64_t unsignedOf(const json &value)
+{
+    if (!value.is_number_unsigned()) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    return value.get<std::uint64_t>();
+}
+
+std::int64_t integerOf(const json &value)
+{
+    if (!value.is_number_integer() || (value.is_number_unsigned() && value.get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max())) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    return value.get<std::int64_t>();
+}
+
+int intOf(const json &value)
+{
+    const std::int64_t number = integerOf(value);
+    if (number < std::numeric_limits<int>::min() || number > std::numeric_limits<int>::max()) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    return static_cast<int>(number);
+}
+
+double realOf(const json &value)
+{
+    const double number = value.get<double>();
+    if (!std::isfinite(number)) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    return number;
+}
+
 json encodeTicketId(const TicketId &id)
 {
     return json::array({id.minter.value(), id.sequence});
@@ -114,7 +151,7 @@
 
 TicketId decodeTicketId(const json &value)
 {
-    return {Incarnation(value.at(0).get<std::uint64_t>()), value.at(1).get<std::uint64_t>()};
+    return {Incarnation(unsignedOf(value.at(0))), unsignedOf(value.at(1))};
 }
 
 json encodeTicket(const Ticket &ticket)
@@ -124,7 +161,7 @@
 
 Ticket decodeTicket(const json &value)
 {
-    return {decodeTicketId(value), InstanceId(value.at(2).get<std::string>()), Incarnation(value.at(3).get<std::uint64_t>())};
+    return {decodeTicketId(value), InstanceId(value.at(2).get<std::string>()), Incarnation(unsignedOf(value.at(3)))};
 }
 
 void encodePayload(json &value, const Payload &payload)
@@ -139,7 +176,7 @@
 Payload decodePayload(const json &value)
 {
     Payload payload;
-    payload.status = value.at("status").get<int>();
+    payload.status = intOf(value.at("status"));
     payload.contentType = value.at("type").get<std::string>();
     if (const auto body = value.find("body"); body != value.end()) {
         const auto &bytes = body->get_binary();
@@ -153,7 +190,7 @@
 
 int decodeAllowance(const json &value)
 {
-    const int allowance = value.at("allowance").get<int>();
+    const int allowance = intOf(value.at("allowance"));
     if (allowance < 0 || allowance > highestAllowance) {
         throw FrameError(ResultCode::FrameMalformed);
     }
@@ -167,7 +204,7 @@
 
 DocumentVersion decodeVersion(const json &value)
 {
-    return {Revision(value.at(0).get<std::uint64_t>()), value.at(1).get<std::string>()};
+    return {Revision(unsignedOf(value.at(0))), value.at(1).get<std::string>()};
 }
 
 json encode(const HelloMessage &m)
@@ -184,15 +221,15 @@
 HelloMessage decodeHello(const json &v)
 {
     HelloMessage m;
-    m.major = v.at("major").get<int>();
+    m.major = intOf(v.at("major"));
     if (m.major != peerProtocolMajor) {
         throw FrameError(ResultCode::VersionUnsupported);
     }
     m.instance = InstanceId(v.at("instance").get<std::string>());
-    m.incarnation = Incarnation(v.at("incarnation").get<std::uint64_t>());
+    m.incarnation = Incarnation(unsignedOf(v.at("incarnation")));
     m.service = ServiceName(v.at("service").get<std::string>());
     m.dataCentre = DataCentreName(v.at("dataCentre").get<std::string>());
-    m.slots = v.at("slots").get<int>();
+    m.slots = intOf(v.at("slots"));
     return m;
 }
 
@@ -220,11 +257,11 @@
     m.context.request = RequestId(v.at("request").get<std::string>());
     m.context.customer = CustomerName(v.at("customer").get<std::string>());
     m.context.operation = OperationName(v.at("operation").get<std::string>());
-    m.context.rank = v.at("rank").get<double>();
-    m.context.depth = v.at("depth").get<int>();
+    m.context.rank = realOf(v.at("rank"));
+    m.context.depth = intOf(v.at("depth"));
     m.context.branchRepeated = v.at("repeated").get<bool>();
     m.context.idempotent = v.at("idempotent").get<bool>();
-    const auto remaining = v.at("remaining").get<std::uint64_t>();
+    const auto remaining = unsignedOf(v.at("remaining"));
     constexpr double highestRank = 1001;
     if (remaining > longestDurationMicroseconds || !(m.context.rank >= 0 && m.context.rank <= highestRank)) {
         throw FrameError(ResultCode::FrameMalformed);
@@ -250,7 +287,7 @@
 {
     AnswerMessage m;
     m.ticket = decodeTicketId(v.at("ticket"));
-    const int number = v.at("code").get<int>();
+    const int number = intOf(v.at("code"));
     constexpr int firstCallCode = 1000;
     constexpr int lastCallCode = 3999;
     if (number < firstCallCode || number > lastCallCode || findResultCode(number) == nullptr) {
@@ -258,7 +295,7 @@
     }
     m.code = static_cast<ResultCode>(number);
     m.allowance = decodeAllowance(v);
-    m.price = v.at("price").get<double>();
+    m.price = realOf(v.at("price"));
     m.payload = decodePayload(v);
     return m;
 }
@@ -288,7 +325,7 @@
     StatusMessage m;
     m.draining = v.at("draining").get<bool>();
     m.drainSeen = v.value("drainSeen", false);
-    m.incarnation = Incarnation(v.at("incarnation").get<std::uint64_t>());
+    m.incarnation = Incarnation(unsignedOf(v.at("incarnation")));
     m.configuration = decodeVersion(v.at("configuration"));
     m.instances = decodeVersion(v.at("instances"));
     return m;
@@ -354,13 +391,13 @@
         return VoidMessage{decodeTicket(v.at("ticket"))};
     }
     if (kind == "getConfiguration") {
-        return ConfigurationRequest{Revision(v.at("held").get<std::uint64_t>()), decodeTexts(v.at("digests"))};
+        return ConfigurationRequest{Revision(unsignedOf(v.at("held"))), decodeTexts(v.at("digests"))};
     }
     if (kind == "configuration") {
         return ConfigurationMessage{v.at("manifest").get<std::string>(), decodeTexts(v.at("contracts"))};
     }
     if (kind == "getInstances") {
-        return InstancesRequest{Revision(v.at("held").get<std::uint64_t>())};
+        return InstancesRequest{Revision(unsignedOf(v.at("held")))};
     }
     if (kind == "instances") {
         return InstancesMessage{v.at("document").get<std::string>()};
@@ -409,7 +446,7 @@
         }
         const json value = json::from_cbor(bytes);
         frame.message = decodeMessage(value);
-        frame.sentAt = TimePoint(Duration(value.at("sent").get<std::int64_t>()));
+        frame.sentAt = TimePoint(Duration(integerOf(value.at("sent"))));
     } catch (const FrameError &error) {
         return error.code();
     } catch (const std::exception &) {
--- /dev/null
+++ b/tests/peer/codec.cpp
@@ -0,0 +1,154 @@
+#include <chervilpaddle/base/random.h>
+#include <chervilpaddle/peer/codec.h>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace chervilpaddle;
+using nlohmann::json;
+
+namespace {
+
+CallMessage exampleCall()
+{
+    CallMessage call;
+    call.ticket = {{Incarnation(0xFFFFFFFFFFFFFFFFULL), 42}, InstanceId("pagos-1"), Incarnation(9)};
+    call.context = {RequestId("r-1"), CustomerName("organisers"), OperationName("pagos.instruct"), 900.25, 3, true, false};
+    call.remaining = std::chrono::milliseconds(750);
+    call.allowance = 2;
+    call.payload = {0, "text/plain", std::make_shared<const std::string>("body\0with zero", 14)};
+    return call;
+}
+
+std::string encoded(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+json exampleAsJson()
+{
+    return json::from_cbor(encodeFrame({exampleCall(), TimePoint()}));
+}
+
+std::error_code decodeResult(const std::string &bytes)
+{
+    PeerFrame frame;
+    return decodeFrame(bytes, frame);
+}
+
+} // namespace
+
+Test(codec, a_call_survives_its_frame)
+{
+    const CallMessage call = exampleCall();
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({call, TimePoint(std::chrono::seconds(5))}), frame));
+    const auto &copy = std::get<CallMessage>(frame.message);
+    cr_assert(copy.ticket.id == call.ticket.id);
+    cr_assert(copy.ticket.executor == call.ticket.executor);
+    cr_assert(copy.context.request == call.context.request);
+    cr_assert_eq(copy.context.rank, call.context.rank);
+    cr_assert(copy.context.branchRepeated);
+    cr_assert_eq(copy.remaining.count(), call.remaining.count());
+    cr_assert_eq(copy.allowance, 2);
+    cr_assert(*copy.payload.body == *call.payload.body);
+    cr_assert_eq(frame.sentAt.time_since_epoch().count(), 5000000);
+}
+
+Test(codec, every_kind_survives_its_frame)
+{
+    AnswerMessage answer;
+    answer.code = ResultCode::Shed;
+    ConfigurationMessage configuration{"{}", {{CustomerName("a"), "text"}}};
+    ConfigurationRequest request{Revision(3), {{CustomerName("a"), "digest"}}};
+    const PeerMessage messages[] = {HelloMessage(), answer, CancelMessage(), VoidMessage(), StatusMessage(), request, configuration, InstancesRequest(), InstancesMessage{"{}"}};
+    for (const PeerMessage &message : messages) {
+        PeerFrame frame;
+        cr_expect_not(decodeFrame(encodeFrame({message, TimePoint()}), frame));
+        cr_expect_eq(frame.message.index(), message.index());
+    }
+}
+
+Test(codec, an_unknown_field_is_ignored)
+{
+    json value = exampleAsJson();
+    value["added later"] = {1, 2, 3};
+    cr_assert_not(decodeResult(encoded(value)));
+}
+
+Test(codec, another_major_version_is_refused)
+{
+    HelloMessage hello;
+    hello.major = peerProtocolMajor + 1;
+    cr_assert_eq(decodeResult(encodeFrame({hello, TimePoint()})), std::error_code(ResultCode::VersionUnsupported));
+}
+
+Test(codec, malformed_fields_are_refused)
+{
+    const std::vector<std::pair<std::string, json>> changes = {
+        {"kind", "nonsense"}, {"kind", 3},        {"ticket", json::array()}, {"ticket", "x"},        {"rank", "high"},   {"rank", -1},       {"rank", 5000},
+        {"remaining", -5},    {"remaining", 1e300}, {"allowance", -1},       {"allowance", 1000000}, {"body", "string"}, {"status", "200"}, {"repeated", 1},
+        {"sent", nullptr},    {"depth", "deep"}, {"customer", 5},
+    };
+    for (const auto &[field, bad] : changes) {
+        json value = exampleAsJson();
+        value[field] = bad;
+        cr_expect(decodeResult(encoded(value)), "%s = %s passed", field.c_str(), bad.dump().c_str());
+        value.erase(field);
+        cr_expect(field == "body" || decodeResult(encoded(value)), "a frame without %s passed", field.c_str());
+    }
+}
+
+Test(codec, an_answer_cannot_carry_a_code_that_is_none_of_a_call)
+{
+    for (const int code : {0, 999, 1002, 4001, 6001, -1}) {
+        json value = json::from_cbor(encodeFrame({AnswerMessage(), TimePoint()}));
+        value["code"] = code;
+        cr_expect(decodeResult(encoded(value)), "code %d passed", code);
+    }
+}
+
+Test(codec, nesting_and_element_bombs_are_refused)
+{
+    cr_assert(decodeResult(std::string(largestFrameBytes, '\x81')));
+    cr_assert(decodeResult(std::string(largestFrameBytes + 1, '\0')));
+    json many = exampleAsJson();
+    many["list"] = std::vector<int>(200000, 1);
+    cr_assert(decodeResult(encoded(many)));
+}
+
+Test(codec, truncated_and_random_bytes_never_crash_it)
+{
+    const std::string whole = encodeFrame({exampleCall(), TimePoint()});
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        cr_assert(decodeResult(whole.substr(0, length)));
+    }
+    RandomSource random(20261204);
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes = whole;
+        for (std::size_t changes = 1 + uniformIndex(random, 4); changes > 0; --changes) {
+            bytes[uniformIndex(random, bytes.size())] = static_cast<char>(random());
+        }
+        decodeResult(bytes);
+        std::string noise(uniformIndex(random, 64), '\0');
+        for (char &byte : noise) {
+            byte = static_cast<char>(random());
+        }
+        decodeResult(noise);
+    }
+}
+
+Test(codec, a_ticket_survives_its_text)
+{
+    const Ticket ticket = exampleCall().ticket;
+    const auto parsed = parseTicket(formatTicket(ticket));
+    cr_assert(parsed.has_value());
+    cr_assert(parsed->id == ticket.id);
+    cr_assert(parsed->executor == ticket.executor);
+    cr_assert(parsed->executorIncarnation == ticket.executorIncarnation);
+    for (const char *bad : {"", "a", "a/b/c/d", "a/1/2", "/1/2/3", "a/1/2/3x", "a/1/2/-3", "a/1/2/99999999999999999999"}) {
+        cr_expect_not(parseTicket(bad).has_value(), "%s", bad);
+    }
+}
