--- a/apps/tool/callclient.cpp
+++ b/apps/tool/callclient.cpp
@@ -30,6 +30,7 @@
     }
     if (!request.ticket.empty()) {
         http.headers.set(headers::ticket, request.ticket);
+        http.headers.set(headers::ticketAttempt, std::to_string(request.ticketAttempt));
     }
     http.body = request.body;
     return http;
@@ -65,12 +66,20 @@
 {
     client.send(toHttp(request), timeout, [&client, request, timeout, done = std::move(done)](const HttpResult &http) {
         const CallerResult result = toResult(http, request);
+        if (result.code == ResultCode::RepeatWithoutTicket && request.ticket.empty()) {
+            // Whoever never held a ticket was never run: it starts afresh.
+            CallerRequest afresh = request;
+            afresh.attempt = 0;
+            sendRequest(client, afresh, timeout, done);
+            return;
+        }
         if (result.code != ResultCode::TicketRequired || result.ticket.empty()) {
             done(result);
             return;
         }
         CallerRequest withTicket = request;
         withTicket.ticket = result.ticket;
+        withTicket.ticketAttempt = 0;
         sendRequest(client, withTicket, timeout, done);
     });
 }
--- a/apps/tool/callclient.h
+++ b/apps/tool/callclient.h
@@ -19,6 +19,7 @@
     int deadlineMs = -1;
     int attempt = 0;
     std::string ticket;
+    int ticketAttempt = 0;
 };
 
 //! What an outside caller learns of its request.
--- a/apps/tool/loadcommand.cpp
+++ b/apps/tool/loadcommand.cpp
@@ -52,6 +52,9 @@
         TimePoint sent;
         CallerRequest call;
         int attempts = 0;
+        //! An earlier attempt ended in a way that leaves open whether it ran.
+        bool mayHaveRun = false;
+        int repeatsSpent = 0;
     };
 
     std::optional<std::size_t> phaseAt(TimePoint time) const
@@ -113,14 +116,24 @@
     {
         const LoadStream &kind = m_plan.streams[request->stream];
         const bool good = result.code == ResultCode::Done;
+        request->repeatsSpent += result.repeatsSpent;
         const bool timeLeft = m_clock() < request->sent + kind.deadline;
-        if (!good && timeLeft && request->attempts <= kind.repeats) {
+        // What ran under a ticket has run; its record would only answer the same again.
+        const bool ranUnderTicket = result.outcome == Outcome::Done && !request->call.ticket.empty();
+        if (!good && !ranUnderTicket && timeLeft && request->attempts <= kind.repeats) {
             // After "not run" the node hands out a fresh ticket; after "unknown" the same one asks again.
+            request->mayHaveRun = mayHaveRunAfter(*request, result);
+            const bool ticketIsOpen = result.ticket == request->call.ticket && result.outcome != Outcome::NotRun;
+            request->call.ticketAttempt = ticketIsOpen ? request->call.ticketAttempt + 1 : 0;
             request->call.ticket = result.ticket;
             attempt(request);
             return;
         }
-        LoadOutcome outcome{request->stream, request->phase, request->sent, m_clock(), result, request->attempts, false};
+        LoadOutcome outcome{request->call.request, request->stream, request->phase, request->sent, m_clock(), result, request->attempts, false};
+        outcome.result.repeatsSpent = request->repeatsSpent;
+        if (result.outcome == Outcome::NotRun && mayHaveRunAfter(*request, result)) {
+            outcome.result.outcome = Outcome::Unknown;
+        }
         if (good) {
             const std::string expected = request->call.request.value() + " " + kind.operation.value() + " " + hexDigest(request->call.body);
             outcome.foreignAnswer = result.body.rfind(expected, 0) != 0;
@@ -128,6 +141,16 @@
         m_report.add(outcome);
     }
 
+    //! "Not run" settles an earlier doubt only where it is the executor's word on the same ticket.
+    static bool mayHaveRunAfter(const Request &request, const CallerResult &result)
+    {
+        if (result.outcome != Outcome::NotRun) {
+            return true;
+        }
+        const bool executorsWord = !request.call.ticket.empty() && result.status != 0;
+        return request.mayHaveRun && !executorsWord;
+    }
+
     HttpClient &clientFor(const Endpoint &target)
     {
         auto &client = m_clients[toText(target)];
@@ -182,6 +205,7 @@
     }
     writeFile(arguments.csv, generator.report().csv());
     writeFile(arguments.svg, generator.report().svg());
+    writeFile(arguments.requests, generator.report().requests());
     return generator.report().allDefinite() ? 0 : exitNegative;
 }
 
--- a/apps/tool/loadreport.cpp
+++ b/apps/tool/loadreport.cpp
@@ -45,6 +45,8 @@
     LoadTotals &totals = m_totals[outcome.phase][outcome.stream];
     Interval &sentIn = m_intervals[outcome.stream][intervalOf(m_start, outcome.sent)];
     Interval &endedIn = m_intervals[outcome.stream][intervalOf(m_start, outcome.ended)];
+    m_requests += outcome.request.value() + ' ' + m_plan.streams[outcome.stream].operation.value() + ' ' + outcomeName(outcome.result.outcome) + ' '
+        + std::to_string(static_cast<int>(outcome.result.code)) + ' ' + std::to_string(outcome.result.repeatsSpent) + '\n';
     ++totals.sent;
     ++sentIn.sent;
     ++totals.codes[static_cast<int>(outcome.result.code)];
@@ -143,6 +145,11 @@
     return text.str();
 }
 
+std::string LoadReport::requests() const
+{
+    return m_requests;
+}
+
 std::size_t LoadReport::intervalCount() const
 {
     Duration length{};
--- a/apps/tool/loadreport.h
+++ b/apps/tool/loadreport.h
@@ -11,6 +11,7 @@
 
 //! How one request of a load ended, with all its repeats.
 struct LoadOutcome {
+    RequestId request;
     std::size_t stream = 0;
     std::size_t phase = 0;
     TimePoint sent;
@@ -48,6 +49,8 @@
     std::string json() const;
     std::string csv() const;
     std::string svg() const;
+    //! One line a request: id, operation, outcome, code, repeats spent.
+    std::string requests() const;
 
     //! Whether every request ended in a definite way and with its own answer.
     bool allDefinite() const;
@@ -58,6 +61,7 @@
 
     const LoadPlan &m_plan;
     TimePoint m_start;
+    std::string m_requests;
     //! By phase, then by stream.
     std::vector<std::vector<LoadTotals>> m_totals;
     struct Interval {
--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -40,6 +40,7 @@
     loadCommand->add_option("file", load.file, "The load's settings (INI), see docs/LOAD.md")->required();
     loadCommand->add_option("--csv", load.csv, "Writes counts for each tenth of a second");
     loadCommand->add_option("--svg", load.svg, "Writes a plot of the goodput");
+    loadCommand->add_option("--requests", load.requests, "Writes how each request ended");
     loadCommand->add_flag("--json", load.json);
     loadCommand->callback([&] { status = runLoad(load); });
 
--- a/apps/tool/toolcommands.h
+++ b/apps/tool/toolcommands.h
@@ -36,6 +36,7 @@
     std::string file;
     std::string csv;
     std::string svg;
+    std::string requests;
     bool json = false;
 };
 int runLoad(const LoadArguments &arguments);
--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -63,6 +63,7 @@
         {ResultCode::RepeatWithoutTicket, "RepeatWithoutTicket", "A repeat of a call that is not idempotent came without its ticket.", 409},
         {ResultCode::CancelledWhileRunning, "CancelledWhileRunning", "The caller cancelled while the call was running.", 499},
         {ResultCode::AnswerTooLarge, "AnswerTooLarge", "The backend server's answer is over 8 MiB.", 502},
+        {ResultCode::RepeatUndecided, "RepeatUndecided", "The node refused a repeat; whether an earlier attempt ran, only its executor can say.", 503},
         {ResultCode::SettingsUnreadable, "SettingsUnreadable", "The settings file cannot be read.", 0},
         {ResultCode::SettingUnknown, "SettingUnknown", "The settings hold a key that is not known.", 0},
         {ResultCode::SettingMissing, "SettingMissing", "A required setting is missing.", 0},
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -51,6 +51,7 @@
     RepeatWithoutTicket = 3007,
     CancelledWhileRunning = 3008,
     AnswerTooLarge = 3009,
+    RepeatUndecided = 3010,
 
     SettingsUnreadable = 4001,
     SettingUnknown = 4002,
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -59,7 +59,8 @@
     pending.allowanceBefore = pending.call.allowance->held();
     const TimePoint now = m_hooks.clock();
     if (deadline <= now) {
-        finish(id, ResultCode::DeadlinePast, {});
+        const bool mayHaveRunBefore = pending.call.boundTicket && !pending.call.isFirstPresentation;
+        finish(id, mayHaveRunBefore ? ResultCode::RepeatUndecided : ResultCode::DeadlinePast, {});
         return id;
     }
     attempt(id);
@@ -96,17 +97,19 @@
     }
 }
 
-//! A ticket that an outside caller holds may have been presented before, through any node: unless its executor
-//! says so, nothing tells that it has not run.
+//! A ticket that an outside caller presents again may have run: unless its executor says so, nothing tells that it
+//! has not.
 void Router::attemptBound(CallId id, const Ticket &ticket)
 {
-    const Candidate *candidate = linked(serviceOf(m_pending.at(id).call.context.operation), ticket.executor);
+    const Pending &pending = m_pending.at(id);
+    const bool first = pending.call.isFirstPresentation;
+    const Candidate *candidate = linked(serviceOf(pending.call.context.operation), ticket.executor);
     if (candidate != nullptr && candidate->incarnation != ticket.executorIncarnation) {
-        finish(id, ResultCode::ExecutorReplaced, {});
+        finish(id, first ? ResultCode::NoInstance : ResultCode::ExecutorReplaced, {});
         return;
     }
     if (candidate == nullptr || !sendAttempt(id, ticket)) {
-        finish(id, ResultCode::ExecutorGone, {});
+        finish(id, first ? ResultCode::NoInstance : ResultCode::ExecutorGone, {});
     }
 }
 
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -25,6 +25,8 @@
     std::shared_ptr<Allowance> allowance;
     //! Given where an outside caller holds the ticket: the call goes there or nowhere.
     std::optional<Ticket> boundTicket;
+    //! The caller says that it presents the ticket for the first time: unless it goes out from here, it has not run.
+    bool isFirstPresentation = false;
 };
 
 //! How a call ended for its caller.
--- a/src/chervilpaddle/filters/entryfilters.cpp
+++ b/src/chervilpaddle/filters/entryfilters.cpp
@@ -11,8 +11,10 @@
 
 Filter drainFilter(const EntrySources &sources)
 {
-    return [draining = sources.draining](EntryRequest & /*request*/) -> std::optional<ResultCode> {
-        return draining() ? std::optional(ResultCode::Leaving) : std::nullopt;
+    return [draining = sources.draining](EntryRequest &request) -> std::optional<ResultCode> {
+        // Only its executor can say what became of a repeat that has a ticket, so it is still passed on.
+        const bool isTicketedRepeat = request.ticket && request.ticketAttempt > 0;
+        return draining() && !isTicketedRepeat ? std::optional(ResultCode::Leaving) : std::nullopt;
     };
 }
 
@@ -86,11 +88,11 @@
 FilterChain entryFilterChain(const EntrySources &sources)
 {
     FilterChain chain;
-    chain.add("drain", drainFilter(sources));
     chain.add("body", filterBody);
     chain.add("contract", contractFilter(sources));
     chain.add("deadline", deadlineFilter(sources));
     chain.add("ticket", filterTicket);
+    chain.add("drain", drainFilter(sources));
     chain.add("rank", rankFilter(sources));
     chain.add("allowance", filterAllowance);
     return chain;
--- a/src/chervilpaddle/filters/entryfilters.h
+++ b/src/chervilpaddle/filters/entryfilters.h
@@ -15,7 +15,8 @@
     std::function<std::shared_ptr<const RateTable>()> rates;
 };
 
-//! The chain that every outside request passes, in this order: drain, body, contract, deadline, ticket, rank, allowance.
+//! The chain that every outside request passes, in this order: body, contract, deadline, ticket, drain, rank,
+//! allowance. A draining node still hands out tickets: they are bound to others.
 FilterChain entryFilterChain(const EntrySources &sources);
 
 //! The rank of a request: its worth by contract and a fraction by its id, so that every hop prefers the same
--- a/src/chervilpaddle/filters/entryrequest.h
+++ b/src/chervilpaddle/filters/entryrequest.h
@@ -20,6 +20,8 @@
     bool ticketMalformed = false;
     //! How often the caller has sent the request before.
     int attempt = 0;
+    //! How often the caller has presented the ticket before.
+    int ticketAttempt = 0;
     Payload payload;
     TimePoint arrival;
 
--- a/src/chervilpaddle/node/callersfrontend.cpp
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -64,21 +64,27 @@
         request.ticketMalformed = !request.ticket;
     }
     const auto deadline = parseIntegerHeader(headerOr(http, headers::deadline, "-1"), -1, longestWantedDeadline);
-    const auto attempt = parseIntegerHeader(headerOr(http, headers::attempt, "0"), 0, highestAttempt);
-    if (!deadline || !attempt) {
+    const std::string attemptText = headerOr(http, headers::attempt, "0");
+    const auto attempt = parseIntegerHeader(attemptText, 0, highestAttempt);
+    const auto ticketAttempt = parseIntegerHeader(headerOr(http, headers::ticketAttempt, attemptText), 0, highestAttempt);
+    if (!deadline || !attempt || !ticketAttempt) {
         request.operation = OperationName();
     } else if (*deadline >= 0) {
         request.wantedDeadline = std::chrono::milliseconds(*deadline);
     }
     request.attempt = attempt.value_or(0);
+    request.ticketAttempt = ticketAttempt.value_or(0);
     request.payload = takePayload(exchange);
     return request;
 }
 
 void CallersFrontend::refuse(const std::shared_ptr<HttpExchange> &exchange, const EntryRequest &request, ResultCode code)
 {
+    // An earlier attempt under the same ticket may have run: a refusal here says nothing of that one.
+    const bool isTicketedRepeat = request.ticket && request.ticketAttempt > 0;
+    const ResultCode told = isTicketedRepeat && outcomeOf(code) == Outcome::NotRun ? ResultCode::RepeatUndecided : code;
     m_log.debug({"request refused", code, request.request, request.operation.value()});
-    exchange->respond(responseFor(refusal(code), request.request));
+    exchange->respond(responseFor(refusal(told), request.request));
 }
 
 void CallersFrontend::offerTicket(const std::shared_ptr<HttpExchange> &exchange, const EntryRequest &request)
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -23,6 +23,9 @@
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 //! Time for the last answers to leave the sockets.
 constexpr auto flushTime = std::chrono::milliseconds(200);
+//! HTTP gives a server no way to take back an idle connection: it is kept until callers have used it once more, and
+//! were told to close it, or have let it rest for this long.
+constexpr auto callerRest = std::chrono::milliseconds(1000);
 constexpr Duration drainSlack = std::chrono::seconds(1);
 constexpr std::size_t largestOperatorBody = 64 * 1024;
 
@@ -172,11 +175,20 @@
                                 {},
                                 std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
                 }
-                asio::post(m_mainContext, [this, end = drained || late] { end ? finishShutdown() : pollDrain(); });
+                asio::post(m_mainContext, [this, drained, late] { pollCallers(drained, late); });
             });
         });
     }
 
+    void pollCallers(bool drained, bool late)
+    {
+        if (drained) {
+            m_callers.stopAccepting();
+        }
+        const bool done = late || (drained && m_callers.isQuiet(callerRest));
+        done ? finishShutdown() : pollDrain();
+    }
+
     void finishShutdown()
     {
         m_callers.stopAccepting();
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -16,6 +16,8 @@
 constexpr Duration linkTick = std::chrono::milliseconds(50);
 constexpr Duration syncTick = std::chrono::milliseconds(250);
 constexpr Duration healthInterval = std::chrono::seconds(1);
+//! A service that cannot be reached for this long does not keep a node from serving the rest.
+constexpr Duration longestWarmUp = std::chrono::seconds(3);
 constexpr Duration shortestPatience = std::chrono::seconds(5);
 
 void scheduleOn(boost::asio::io_context &context, Duration delay, std::function<void()> action)
@@ -55,7 +57,7 @@
     m_transport = std::make_unique<PeerTransport>(m_context, transportHooks());
     m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, {}}, executorHooks());
     m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
-    const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, false};
+    const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true};
     m_links = std::make_unique<LinkController>(self, m_settings.service, linkHooks(), m_random());
     m_links->setSeeds(m_settings.seeds);
     const SelectionBase base{m_settings.instance, m_settings.dataCentre, m_settings.service, {}};
@@ -69,7 +71,10 @@
     }
     m_sync->start();
     repeatEvery(executorTick, [this] { m_executor->tick(); });
-    repeatEvery(linkTick, [this] { m_links->tick(); });
+    repeatEvery(linkTick, [this] {
+        m_links->tick();
+        checkReadiness();
+    });
     repeatEvery(syncTick, [this] { m_sync->tick(); });
     repeatEvery(healthInterval, [this] { m_backend.pollHealth(); });
     return {};
@@ -184,6 +189,8 @@
     wantService(serviceOf(request.operation));
     const std::uint64_t number = entry.value();
     EntryCall &entryCall = m_entryCalls[number];
+    entryCall.request = request.request;
+    entryCall.operation = request.operation;
     entryCall.key = key;
     entryCall.idempotent = idempotent;
     entryCall.waiting[entry] = std::move(completion);
@@ -208,12 +215,14 @@
     call.payload = request.payload;
     call.allowance = std::make_shared<Allowance>(request.grant);
     call.boundTicket = request.ticket;
+    call.isFirstPresentation = request.ticketAttempt == 0;
     return call;
 }
 
 void NodeCore::finishEntry(std::uint64_t number, const CallResult &result)
 {
     auto node = m_entryCalls.extract(number);
+    logOutcome(result, node.mapped().request, node.mapped().operation);
     if (const auto joinable = m_joinable.find(node.mapped().key); joinable != m_joinable.end() && joinable->second == number) {
         m_joinable.erase(joinable);
     }
@@ -279,11 +288,12 @@
     const OperationName parentOperation = parent.operation;
     wantService(serviceOf(request.operation));
     auto id = std::make_shared<CallId>();
-    *id = m_router->call(std::move(call), [this, id, runId, parentOperation, operation = request.operation, completion = std::move(completion)](const CallResult &result) {
+    *id = m_router->call(std::move(call), [this, id, runId, parentOperation, operation = request.operation, request = parent.request, completion = std::move(completion)](const CallResult &result) {
         if (const auto children = m_childCalls.find(runId); children != m_childCalls.end()) {
             children->second.erase(*id);
         }
         m_executor->recordChildPrice(parentOperation, operation, m_router->price(operation));
+        logOutcome(result, request, operation);
         completion(result);
     });
     if (m_executor->findRun(runId) != nullptr) {
@@ -292,6 +302,16 @@
     return *id;
 }
 
+//! An unknown outcome is what somebody will have to look into.
+void NodeCore::logOutcome(const CallResult &result, const RequestId &request, const OperationName &operation)
+{
+    if (outcomeOf(result.code) == Outcome::Unknown) {
+        m_log.info({"a call ended as unknown", result.code, request, operation.value()});
+    } else {
+        m_log.debug({"a call ended", result.code, request, operation.value()});
+    }
+}
+
 void NodeCore::cancelFromBackend(CallId call)
 {
     m_router->cancel(call);
@@ -385,14 +405,44 @@
 //! The executor may have taken a new incarnation.
 void NodeCore::refreshSelf()
 {
-    if (m_executor->incarnation() == m_incarnation && m_executor->isDraining() == m_draining) {
-        return;
+    if (m_executor->incarnation() != m_incarnation) {
+        m_incarnation = m_executor->incarnation();
+        announceSelf();
     }
-    m_incarnation = m_executor->incarnation();
-    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, m_draining});
+}
+
+void NodeCore::announceSelf()
+{
+    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, m_draining || !m_ready});
     m_links->broadcastStatus();
 }
 
+void NodeCore::checkReadiness()
+{
+    const bool hasDocuments = m_configuration.version().revision.value() != 0 && m_membership.version().revision.value() != 0;
+    if (m_ready || !hasDocuments) {
+        return;
+    }
+    const TimePoint now = m_clock();
+    if (m_documentsSince == TimePoint()) {
+        m_documentsSince = now;
+    }
+    if (canReachCalledServices() || now - m_documentsSince > longestWarmUp) {
+        m_ready = true;
+        m_log.info({"node is ready", ResultCode::Success, {}, {}});
+        announceSelf();
+    }
+}
+
+bool NodeCore::canReachCalledServices()
+{
+    const auto services = m_configuration.current()->servicesCalledBy(m_settings.service);
+    return std::all_of(services.begin(), services.end(), [this](const ServiceName &service) {
+        const auto &candidates = m_links->candidates(service);
+        return std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return !candidate.draining; });
+    });
+}
+
 void NodeCore::wantService(const ServiceName &service)
 {
     if (service != m_settings.service && m_requestedServices.insert(service).second) {
@@ -406,9 +456,13 @@
         return;
     }
     m_log.info({"drain begins", ResultCode::Leaving, {}, "asked for by " + asker});
-    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, true});
     m_executor->drain();
-    m_links->broadcastStatus();
+    announceSelf();
+}
+
+bool NodeCore::isReady() const
+{
+    return m_ready;
 }
 
 bool NodeCore::isDrained() const
@@ -435,7 +489,7 @@
 StatusMessage NodeCore::status() const
 {
     StatusMessage status;
-    status.draining = m_draining;
+    status.draining = m_draining || !m_ready;
     status.incarnation = m_executor->incarnation();
     status.configuration = m_configuration.version();
     status.instances = m_membership.version();
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -59,6 +59,8 @@
 
     //! Begins the drain; from whichever side it is asked for.
     void drain(const std::string &asker);
+    //! Whether calls can be run here: the documents are in force and the services called are linked.
+    bool isReady() const;
     //! Nothing is in flight, and every peer knows of the drain.
     bool isDrained() const;
     void shutdown();
@@ -78,6 +80,8 @@
     //! Outside requests that wait for the same call.
     struct EntryCall {
         CallId call;
+        RequestId request;
+        OperationName operation;
         std::string key;
         bool idempotent = false;
         std::map<EntryNumber, Completion> waiting;
@@ -100,8 +104,12 @@
     void membershipChanged();
     void refreshPeers();
     void refreshSelf();
+    void checkReadiness();
+    bool canReachCalledServices();
+    void announceSelf();
     void wantService(const ServiceName &service);
     void finishEntry(std::uint64_t entryCall, const CallResult &result);
+    void logOutcome(const CallResult &result, const RequestId &request, const OperationName &operation);
     OutboundCall outboundFor(const EntryRequest &request) const;
     HelloMessage hello() const;
     StatusMessage status() const;
@@ -114,6 +122,9 @@
     RandomSource m_random;
     Incarnation m_incarnation;
     std::atomic<bool> m_draining{false};
+    //! Whether this node can run calls: a process that has just started has no links for what its runs will call.
+    bool m_ready = false;
+    TimePoint m_documentsSince;
     ConfigurationController m_configuration;
     MembershipController m_membership;
     RcuCell<RateTable> m_rates;
--- a/src/chervilpaddle/node/statedump.cpp
+++ b/src/chervilpaddle/node/statedump.cpp
@@ -85,6 +85,7 @@
                         {"service", settings.service.value()},
                         {"dataCentre", settings.dataCentre.value()},
                         {"incarnation", core.incarnation().value()},
+                        {"ready", core.isReady()},
                         {"draining", core.isDraining()},
                         {"drained", core.isDrained()},
                         {"configuration", configurationState(core)},
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -121,8 +121,7 @@
             result.stage = HttpStage::TooLarge;
         } else if (error) {
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
-        } else if (m_parser->get().need_eof()) {
-            // The body ends where the connection does: nobody can tell whether it is whole.
+        } else if (endIsOpen()) {
             result.stage = HttpStage::Truncated;
         } else {
             result.stage = HttpStage::Whole;
@@ -132,6 +131,14 @@
         end(result);
     }
 
+    //! The body ends where the connection does: nobody can tell whether it is whole.
+    bool endIsOpen() const
+    {
+        const auto status = m_parser->get().result();
+        const bool hasNoBody = status == http::status::no_content || status == http::status::not_modified;
+        return !hasNoBody && !m_parser->chunked() && !m_parser->content_length();
+    }
+
     HttpResponse takeResponse()
     {
         auto &message = m_parser->get();
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -42,6 +42,7 @@
 constexpr const char *deadline = "Chervilpaddle-Deadline-Ms";
 constexpr const char *ticket = "Chervilpaddle-Ticket";
 constexpr const char *attempt = "Chervilpaddle-Attempt";
+constexpr const char *ticketAttempt = "Chervilpaddle-Ticket-Attempt";
 constexpr const char *outcome = "Chervilpaddle-Outcome";
 constexpr const char *code = "Chervilpaddle-Code";
 constexpr const char *attempts = "Chervilpaddle-Attempts";
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chervilpaddle/base/resultcode.h>
+#include <cerrno>
 #include <chrono>
 #include <optional>
 #include <sys/socket.h>
@@ -32,6 +33,7 @@
     std::atomic<std::size_t> connections{0};
     std::atomic<std::int64_t> bodyBytes{0};
     std::atomic<bool> closing{false};
+    std::atomic<std::chrono::steady_clock::time_point> lastRead{std::chrono::steady_clock::now()};
 };
 
 //! A part of the memory for bodies, given back at the end of a request.
@@ -135,6 +137,7 @@
 
     void readHeader()
     {
+        m_state->lastRead = std::chrono::steady_clock::now();
         m_parser.emplace();
         m_parser->header_limit(largestHeader);
         m_parser->body_limit(m_state->options.largestBody);
@@ -192,20 +195,28 @@
     {
         m_stream.expires_never();
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](beast::error_code error) {
-            if (!error && self->m_handling && self->m_exchange == exchange && self->peerHasClosed()) {
-                self->m_handling = false;
-                self->close();
-                if (auto handler = std::move(self->m_disconnectHandler); handler) {
-                    handler();
-                }
+            if (!error && self->m_handling && self->m_exchange == exchange) {
+                self->lookForDisconnect();
             }
         });
     }
 
-    bool peerHasClosed()
+    void lookForDisconnect()
     {
         char byte = 0;
-        return ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+        const auto seen = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (seen > 0) {
+            return; // The next request is already here; the caller has not gone.
+        }
+        if (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            watchForDisconnect(); // Woken for nothing.
+            return;
+        }
+        m_handling = false;
+        close();
+        if (auto handler = std::move(m_disconnectHandler); handler) {
+            handler();
+        }
     }
 
     void write(HttpResponse response)
@@ -338,10 +349,7 @@
 
     void stopAccepting()
     {
-        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            beast::error_code ignored;
-            self->m_acceptor.close(ignored);
-        });
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] { self->closeAcceptor(); });
     }
 
     void closeAfterResponses()
@@ -349,22 +357,53 @@
         m_state->closing = true;
     }
 
+    bool isQuiet(std::chrono::milliseconds length) const
+    {
+        return m_state->connections == 0 || std::chrono::steady_clock::now() - m_state->lastRead.load() > length;
+    }
+
 private:
+    asio::io_context &nextContext()
+    {
+        return *m_contexts[m_nextContext++ % m_contexts.size()];
+    }
+
     void accept()
     {
-        asio::io_context &context = *m_contexts[m_nextContext++ % m_contexts.size()];
-        m_acceptor.async_accept(context, [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
-                return;
+        m_acceptor.async_accept(nextContext(), [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
+            if (!error) {
+                self->begin(std::move(socket));
             }
-            if (!error && self->m_state->connections < self->m_state->options.mostConnections) {
-                const auto executor = socket.get_executor();
-                asio::post(executor, [session = std::make_shared<Session>(std::move(socket), self->m_state)] { session->start(); });
+            if (self->m_acceptor.is_open()) {
+                self->accept();
             }
-            self->accept();
         });
     }
 
+    void begin(tcp::socket socket)
+    {
+        if (m_state->connections >= m_state->options.mostConnections) {
+            return;
+        }
+        const auto executor = socket.get_executor();
+        asio::post(executor, [session = std::make_shared<Session>(std::move(socket), m_state)] { session->start(); });
+    }
+
+    //! Closing a listening socket resets the connections that wait in its queue, so those are taken first.
+    void closeAcceptor()
+    {
+        beast::error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(nextContext());
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                begin(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
+    }
+
     std::vector<asio::io_context *> m_contexts;
     tcp::acceptor m_acceptor;
     std::size_t m_nextContext = 0;
@@ -396,4 +435,9 @@
     m_impl->closeAfterResponses();
 }
 
+bool HttpServer::isQuiet(std::chrono::milliseconds length) const
+{
+    return m_impl->isQuiet(length);
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -4,6 +4,7 @@
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <system_error>
@@ -50,6 +51,8 @@
     void stopAccepting();
     //! Makes every response from now on close its connection. Any thread.
     void closeAfterResponses();
+    //! Whether no connection is open, or none has sent anything for this long. Any thread.
+    bool isQuiet(std::chrono::milliseconds length) const;
 
 private:
     class Impl;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,3 +1,4 @@
+#include "judge.h"
 #include "standinbackend.h"
 #include "standinplatform.h"
 #include "standinrelay.h"
@@ -133,9 +134,19 @@
     relayCommand->add_option("--target", relay.target)->required();
     relayCommand->add_option("--control", relay.control)->required();
 
+    JudgeArguments judgement;
+    auto *judgeCommand = app.add_subcommand("judge", "Compares what callers were told with what backend servers started");
+    judgeCommand->add_option("--records", judgement.records)->required();
+    judgeCommand->add_option("--requests", judgement.requests);
+    judgeCommand->add_option("--once", judgement.once);
+    judgeCommand->add_option("--most-starts", judgement.mostStarts);
+
     CLI11_PARSE(app, argc, argv);
     if (*platformCommand) {
         return runPlatform(platform);
     }
+    if (*judgeCommand) {
+        return judge(judgement);
+    }
     return *backendCommand ? runBackend(backend) : runRelay(relay);
 }
--- a/standins/standinbackend.cpp
+++ b/standins/standinbackend.cpp
@@ -224,30 +224,8 @@
 
 std::string StandinBackend::record() const
 {
-    nlohmann::json started = nlohmann::json::object();
-    int mostRuns = 0;
-    for (const auto &[operation, requests] : m_started) {
-        for (const auto &[request, count] : requests) {
-            mostRuns = std::max(mostRuns, count);
-            if (count > 1) {
-                started[operation][request] = count;
-            }
-        }
-    }
-    nlohmann::json requests = nlohmann::json::object();
-    for (const auto &[operation, byRequest] : m_started) {
-        requests[operation] = nlohmann::json::array();
-        for (const auto &[request, count] : byRequest) {
-            requests[operation].push_back(request);
-        }
-    }
-    const nlohmann::json all = {{"totals", m_startedTotals},
-                                {"mostRunsOfOneRequest", mostRuns},
-                                {"startedMoreThanOnce", started},
-                                {"started", requests},
-                                {"mostRunning", m_mostRunning},
-                                {"running", m_running},
-                                {"answered", m_answered}};
+    const nlohmann::json all = {
+        {"totals", m_startedTotals}, {"started", m_started}, {"mostRunning", m_mostRunning}, {"running", m_running}, {"answered", m_answered}};
     return all.dump();
 }
 
--- a/tests/controllers/router.cpp
+++ b/tests/controllers/router.cpp
@@ -33,7 +33,7 @@
     {
     }
 
-    CallId call(bool idempotent, int grant, std::optional<Ticket> bound = std::nullopt)
+    CallId call(bool idempotent, int grant, std::optional<Ticket> bound = std::nullopt, bool isFirst = false)
     {
         OutboundCall outbound;
         outbound.context.operation = OperationName("x.run");
@@ -42,6 +42,7 @@
         outbound.deadline = time.now() + std::chrono::seconds(1);
         outbound.allowance = std::make_shared<Allowance>(grant);
         outbound.boundTicket = bound;
+        outbound.isFirstPresentation = isFirst;
         allowance = outbound.allowance;
         return router.call(std::move(outbound), [this](const CallResult &result) { results.push_back(result); });
     }
@@ -200,6 +201,11 @@
     cr_assert(replaced.sent.empty());
     cr_assert_eq(replaced.results.front().code, ResultCode::ExecutorReplaced);
 
+    RouterBench first;
+    first.candidates.clear();
+    first.call(false, 3, bound, true);
+    cr_assert_eq(first.results.front().code, ResultCode::NoInstance, "presented for the first time and sent nowhere: it has not run");
+
     RouterBench gone;
     gone.candidates.erase(gone.candidates.begin() + 1);
     gone.call(false, 3, bound);
--- a/tests/filters/entryfilters.cpp
+++ b/tests/filters/entryfilters.cpp
@@ -81,6 +81,20 @@
     cr_assert_eq(*bench.refusal(bench.request("x.read")), ResultCode::Leaving);
 }
 
+Test(filters, a_draining_node_passes_on_repeats_that_have_a_ticket)
+{
+    FilterBench bench;
+    bench.draining = true;
+    auto request = bench.request("x.pay");
+    cr_assert_eq(*bench.refusal(request), ResultCode::TicketRequired);
+    request.ticket = Ticket();
+    cr_assert_eq(*bench.refusal(request), ResultCode::Leaving);
+    request.attempt = 1;
+    cr_assert_eq(*bench.refusal(request), ResultCode::Leaving, "the ticket is fresh");
+    request.ticketAttempt = 1;
+    cr_assert_not(bench.refusal(request).has_value());
+}
+
 Test(filters, before_the_first_configuration_everything_is_refused)
 {
     FilterBench bench;
--- /dev/null
+++ b/tests/process/killed_and_frozen.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Nodes are killed, replaced, frozen and woken late while callers repeat hard: nothing that may not be repeated runs
+# twice, and whoever is told "not run" was not run. The backend servers' records are the judge.
+source "$(dirname "$0")/lib/common.sh"
+tandas_fleet
+start_tandas
+{
+    printf '[load]\nseed = 11\n'
+    stream organisers pagos.instruct 60 4
+    stream ledger aportes.debit 60 4
+    stream phones pagos.status 60 2
+    printf '[phase all]\nlength = 8s\n'
+} >"$work/faults.load"
+start_load faults
+pause 1
+stop_process node-aportes-1 KILL
+pause 0.7
+start_node aportes-1
+stop_process node-pagos-2 STOP
+pause 1.5
+stop_process node-pagos-2 CONT
+stop_process node-aportes-2 STOP
+pause 0.8
+stop_process node-pagos-3 KILL
+stop_process node-aportes-2 CONT
+pause 0.6
+start_node pagos-3
+finish_load faults
+show_codes faults
+pause 1.5
+check "every outcome agrees with the backend servers' records" judge faults
+check "most requests were done" [ "$(load_count faults done)" -gt 700 ]
+check "answers belong to their requests" [ "$(load_count faults foreign)" -eq 0 ]
+finish
--- /dev/null
+++ b/tests/process/lib/common.sh
@@ -0,0 +1,58 @@
+# What the process tests share: a Tandas fleet with its stand-ins on loopback, loads, and a verdict.
+set -uo pipefail
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../../.." && pwd)
+source "$root/tools/cluster.sh"
+trap stop_cluster EXIT
+
+tandas_fleet() { # SLOTS
+    cluster_begin "${CHERVILPADDLE_PORT:-24000}"
+    local service number
+    for service in pagos saldos aportes; do
+        for number in 1 2 3; do
+            add_instance $service $number "$([ $number -lt 3 ] && echo centre-a || echo centre-b)" "${1:-20}"
+        done
+    done
+}
+
+start_tandas() {
+    start_cluster "${contracts:-$root/examples/contracts/tandas}" "${behaviour_file:-$root/examples/behaviour/tandas.ini}" || fail "the fleet did not come up"
+}
+
+targets() { # SERVICE
+    printf '%s' "${callers_of[$1-1]}, ${callers_of[$1-2]}, ${callers_of[$1-3]}"
+}
+
+stream() { # CUSTOMER OPERATION RATE REPEATS [TARGETS]
+    printf '[stream %s.%s]\ncustomer = %s\noperation = %s\nrate = %s\nrepeats = %s\ntargets = %s\n' "$1" "$2" "$1" "$2" "$3" "$4" "${5:-$(targets "${2%%.*}")}"
+}
+
+fail() {
+    echo "FAILED: $*"
+    failed=1
+    exit 1
+}
+
+check() { # MESSAGE COMMAND...
+    local message=$1
+    shift
+    "$@" || { echo "FAILED: $message"; failed=1; }
+}
+
+failed=0
+finish() {
+    [ $failed -eq 0 ] && echo passed
+    exit $failed
+}
+
+once="--once pagos.instruct --once aportes.debit"
+judge() { # LOAD [OPTIONS]
+    collect_records
+    local load=$1 name records=()
+    shift
+    for name in "${instance_names[@]}"; do records+=(--records "$work/$name.record"); done
+    "$binaries/standins/chervilpaddle-standin" judge "${records[@]}" --requests "$work/$load.requests" $once "$@"
+}
+
+show_codes() { # LOAD: how many requests ended with each code
+    echo "codes: $(cut -d' ' -f2-4 "$work/$1.requests" | sort | uniq -c | sort -rn | awk '{print $2, $3, $4 ":" $1}' | paste -sd';')"
+}
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -19,7 +19,7 @@
 start() {
     local name=$1
     shift
-    "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    "$@" >"$work/$name.out" 2>>"$work/$name.log" &
     pid_of[$name]=$!
 }
 
@@ -89,17 +89,17 @@
     "$binaries/apps/chervilpaddle" state "${operators_of[$1]}" 2>/dev/null | grep -oE "$2" | head -n 1
 }
 
-# Ready: configuration and list in force, and a link to every peer wanted.
+# Ready: every node says so, and every node sees all others that it wants.
 wait_ready() {
     local name tries=0
     for name in "${instance_names[@]}"; do
-        until [ "$(node_state "$name" '"links": [0-9]+' | grep -oE '[0-9]+')" -ge "${links_wanted:-$((node_count > 3 ? 3 : 1))}" ] 2>/dev/null \
-            && node_state "$name" '"revision": [1-9][0-9]*' >/dev/null; do
+        until [ -n "$(node_state "$name" '"ready": true')" ]; do
             tries=$((tries + 1))
             [ $tries -gt 200 ] && { echo "node $name is not ready" >&2; return 1; }
-            read -rt 0.05 <> <(:) || true
+            pause 0.05
         done
     done
+    pause 0.5
 }
 
 stop_process() {
@@ -114,3 +114,51 @@
     for name in "${!pid_of[@]}"; do wait "${pid_of[$name]}" 2>/dev/null || true; done
     rm -rf "$work"
 }
+
+# http METHOD ADDRESS PATH [BODY]: the body of the response.
+http() {
+    local body=${4:-}
+    exec 9<>"/dev/tcp/${2%:*}/${2##*:}" || return 1
+    printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$1" "$3" "$2" "${#body}" "$body" >&9
+    sed '1,/^\r$/d' <&9
+    exec 9<&- 9>&-
+}
+
+# pause SECONDS: waits without a process of its own.
+pause() {
+    read -rt "$1" <> <(:) || true
+}
+
+# until_true SECONDS COMMAND...: repeats a command until it succeeds; fails after that many seconds.
+until_true() {
+    local end=$((SECONDS + $1))
+    shift
+    until "$@"; do
+        [ $SECONDS -ge "$end" ] && return 1
+        pause 0.1
+    done
+}
+
+# collect_records: the records of all backend servers as files.
+collect_records() {
+    local name
+    for name in "${instance_names[@]}"; do
+        http GET "${backend_of[$name]}" /record >"$work/$name.record" 2>/dev/null || true
+    done
+}
+
+# start_load NAME: sends the load of $work/NAME.load in the background.
+start_load() {
+    start "load-$1" "$binaries/apps/chervilpaddle" load "$work/$1.load" --json --requests "$work/$1.requests"
+}
+
+# finish_load NAME: waits for its end; its report is then in $work/load-NAME.out.
+finish_load() {
+    wait "${pid_of[load-$1]}" || true
+    unset "pid_of[load-$1]"
+}
+
+# load_count NAME FIELD: a field of the report, summed over phases and streams.
+load_count() {
+    grep -oE "\"$2\":[0-9]+" "$work/load-$1.out" | cut -d: -f2 | awk "{ sum += \$1 } END { print sum + 0 }"
+}
