Take a ticket for presented before unless its caller says otherwise

Ruled out: the executors (each incarnation ran it once) and the search over interleavings, whose caller never miscounts. Change: the tool counts a presentation made while fetching the ticket, and the node takes a missing Chervilpaddle-Ticket-Attempt for a repeat, so that a caller that says nothing is told 'unknown', never wrongly 'not run'.

--- a/apps/tool/loadcommand.cpp
+++ b/apps/tool/loadcommand.cpp
@@ -123,8 +123,9 @@
         if (!good && !ranUnderTicket && timeLeft && request->attempts <= kind.repeats) {
             // After "not run" the node hands out a fresh ticket; after "unknown" the same one asks again.
             request->mayHaveRun = mayHaveRunAfter(*request, result);
-            const bool ticketIsOpen = result.ticket == request->call.ticket && result.outcome != Outcome::NotRun;
-            request->call.ticketAttempt = ticketIsOpen ? request->call.ticketAttempt + 1 : 0;
+            // The ticket may have been fetched, and presented, within this attempt.
+            const int presentedBefore = result.ticket == request->call.ticket ? request->call.ticketAttempt : 0;
+            request->call.ticketAttempt = result.outcome == Outcome::NotRun ? 0 : presentedBefore + 1;
             request->call.ticket = result.ticket;
             attempt(request);
             return;
--- a/src/chervilpaddle/filters/entryrequest.h
+++ b/src/chervilpaddle/filters/entryrequest.h
@@ -20,8 +20,8 @@
     bool ticketMalformed = false;
     //! How often the caller has sent the request before.
     int attempt = 0;
-    //! How often the caller has presented the ticket before.
-    int ticketAttempt = 0;
+    //! How often the caller has presented the ticket before; taken for a repeat where it does not say.
+    int ticketAttempt = 1;
     Payload payload;
     TimePoint arrival;
 
--- a/src/chervilpaddle/node/callersfrontend.cpp
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -64,9 +64,9 @@
         request.ticketMalformed = !request.ticket;
     }
     const auto deadline = parseIntegerHeader(headerOr(http, headers::deadline, "-1"), -1, longestWantedDeadline);
-    const std::string attemptText = headerOr(http, headers::attempt, "0");
-    const auto attempt = parseIntegerHeader(attemptText, 0, highestAttempt);
-    const auto ticketAttempt = parseIntegerHeader(headerOr(http, headers::ticketAttempt, attemptText), 0, highestAttempt);
+    const auto attempt = parseIntegerHeader(headerOr(http, headers::attempt, "0"), 0, highestAttempt);
+    // A caller that does not say so has perhaps presented its ticket before.
+    const auto ticketAttempt = parseIntegerHeader(headerOr(http, headers::ticketAttempt, "1"), 0, highestAttempt);
     if (!deadline || !attempt || !ticketAttempt) {
         request.operation = OperationName();
     } else if (*deadline >= 0) {
