--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -144,7 +144,7 @@
 {
     const CallContext &context = pending.call.context;
     const auto &candidates = m_hooks.candidates(serviceOf(context.operation));
-    InstancePicker::Question question{context.operation, context.rank, &pending.tried, !m_options.policy.price};
+    InstancePicker::Question question{context.operation, context.rank, &pending.tried, !m_options.policy.price || context.depth > 0};
     InstancePicker::Choice choice = m_picker.pick(candidates, question, m_hooks.clock());
     if (choice.refusal == InstancePicker::Refusal::NoInstance && !pending.tried.empty() && !m_options.policy.allowance) {
         const std::set<InstanceId> none;
