--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -171,11 +171,17 @@
     if (found == m_pending.end()) {
         return;
     }
-    if (found->second.message) {
-        const Ticket ticket = found->second.message->ticket;
+    sendCancel(found->second);
+    finish(id, found->second.message ? ResultCode::CancelledWhileRunning : ResultCode::CancelledBeforeStart, {});
+}
+
+//! Tells the executor of the attempt in progress that nobody waits for its answer.
+void Router::sendCancel(const Pending &pending)
+{
+    if (pending.message) {
+        const Ticket &ticket = pending.message->ticket;
         m_hooks.send(ticket.executor, CancelMessage{ticket.id});
     }
-    finish(id, found->second.message ? ResultCode::CancelledWhileRunning : ResultCode::CancelledBeforeStart, {});
 }
 
 void Router::answered(const InstanceId &instance, const AnswerMessage &answer)
@@ -275,10 +281,7 @@
     if (found == m_pending.end()) {
         return;
     }
-    if (found->second.message) {
-        const Ticket ticket = found->second.message->ticket;
-        m_hooks.send(ticket.executor, CancelMessage{ticket.id});
-    }
+    sendCancel(found->second);
     finish(id, ResultCode::DeadlineWhileRunning, {});
 }
 
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -125,6 +125,7 @@
     bool payForRepeat(Pending &pending);
     void finish(CallId id, ResultCode code, const Payload &payload);
     void deadlinePassed(CallId id);
+    void sendCancel(const Pending &pending);
     void recordHealth(const InstanceId &instance, ResultCode code);
     void closeAttempt(Pending &pending);
     std::vector<CallId> outstandingAt(const InstanceId &instance) const;
--- a/src/chervilpaddle/node/callersfrontend.cpp
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -12,15 +12,9 @@
 constexpr int highestAttempt = 1'000'000;
 constexpr std::size_t longestRequestId = 128;
 
-std::string headerOr(const HttpRequest &request, const char *name, const std::string &fallback)
-{
-    const std::string *value = request.headers.find(name);
-    return value != nullptr ? *value : fallback;
-}
-
 Payload takePayload(HttpExchange &exchange)
 {
-    return {0, headerOr(exchange.request(), headers::contentType, {}), std::make_shared<const std::string>(exchange.takeBody())};
+    return {0, exchange.request().headers.valueOr(headers::contentType, {}), std::make_shared<const std::string>(exchange.takeBody())};
 }
 
 } // namespace
@@ -58,16 +52,16 @@
     EntryRequest request;
     request.arrival = m_core.clock()();
     request.operation = operationOf(http);
-    request.customer = CustomerName(headerOr(http, headers::customer, {}));
-    request.request = RequestId(headerOr(http, headers::request, {}));
+    request.customer = CustomerName(http.headers.valueOr(headers::customer, {}));
+    request.request = RequestId(http.headers.valueOr(headers::request, {}));
     if (const std::string *ticket = http.headers.find(headers::ticket); ticket != nullptr) {
         request.ticket = parseTicket(*ticket);
         request.ticketMalformed = !request.ticket;
     }
-    const auto deadline = parseIntegerHeader(headerOr(http, headers::deadline, "-1"), -1, longestWantedDeadline);
-    const auto attempt = parseIntegerHeader(headerOr(http, headers::attempt, "0"), 0, highestAttempt);
+    const auto deadline = parseIntegerHeader(http.headers.valueOr(headers::deadline, "-1"), -1, longestWantedDeadline);
+    const auto attempt = parseIntegerHeader(http.headers.valueOr(headers::attempt, "0"), 0, highestAttempt);
     // A caller that does not say so has perhaps presented its ticket before.
-    const auto ticketAttempt = parseIntegerHeader(headerOr(http, headers::ticketAttempt, "1"), 0, highestAttempt);
+    const auto ticketAttempt = parseIntegerHeader(http.headers.valueOr(headers::ticketAttempt, "1"), 0, highestAttempt);
     if (!deadline || !attempt || !ticketAttempt) {
         request.operation = OperationName();
     } else if (*deadline >= 0) {
@@ -104,7 +98,7 @@
         request->rank = rankOf(request->request, request->terms->worth, request->attempt > 0, request->rank >= minimumWorth);
     }
     // Set on the core thread before the call can end, read there when the caller goes.
-    const auto entry = std::make_shared<NodeCore::EntryNumber>();
+    const auto entry = std::make_shared<EntryNumber>();
     boost::asio::post(m_coreContext, [this, exchange, request, entry] {
         *entry = m_core.enter(*request, [this, exchange, request](const CallResult &result) {
             m_log.debug({"request ended", result.code, request->request, request->operation.value()});
@@ -127,10 +121,10 @@
 void EgressFrontend::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     EgressRequest request;
-    request.context = headerOr(exchange->request(), headers::context, {});
+    request.context = exchange->request().headers.valueOr(headers::context, {});
     request.operation = operationOf(exchange->request());
     request.payload = takePayload(*exchange);
-    const RequestId id(headerOr(exchange->request(), headers::request, {}));
+    const RequestId id(exchange->request().headers.valueOr(headers::request, {}));
     const auto call = std::make_shared<CallId>();
     boost::asio::post(m_coreContext, [this, exchange, request, id, call] {
         *call = m_core.callFromBackend(request, [exchange, id](const CallResult &result) { exchange->respond(responseFor(result, id)); });
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -183,32 +183,20 @@
     return m_draining.load(std::memory_order_relaxed);
 }
 
-NodeCore::EntryNumber NodeCore::enter(const EntryRequest &request, Completion completion)
+EntryNumber NodeCore::enter(const EntryRequest &request, Completion completion)
 {
-    const EntryNumber entry(++m_lastEntry);
     const std::string key = request.customer.value() + '\n' + request.request.value() + '\n' + request.operation.value() + '\n'
         + std::to_string(stableHash(request.payload.body ? *request.payload.body : std::string()));
-    const bool idempotent = request.terms->idempotent;
-    if (const auto joinable = m_joinable.find(key); idempotent && joinable != m_joinable.end()) {
-        m_entryCalls.at(joinable->second).waiting[entry] = std::move(completion);
-        m_entryCallOf[entry] = joinable->second;
-        return entry;
-    }
     wantService(serviceOf(request.operation));
-    const std::uint64_t number = entry.value();
-    EntryCall &entryCall = m_entryCalls[number];
-    entryCall.request = request.request;
-    entryCall.operation = request.operation;
-    entryCall.key = key;
-    entryCall.idempotent = idempotent;
-    entryCall.waiting[entry] = std::move(completion);
-    m_entryCallOf[entry] = number;
-    m_joinable[key] = number;
-    const CallId call = m_router->call(outboundFor(request), [this, number](const CallResult &result) { finishEntry(number, result); });
-    if (const auto still = m_entryCalls.find(number); still != m_entryCalls.end()) {
-        still->second.call = call;
-    }
-    return entry;
+    const auto start = [this, &request](Completion ended) {
+        return m_router->call(
+            outboundFor(request),
+            [this, id = request.request, operation = request.operation, ended = std::move(ended)](const CallResult &result) {
+                logOutcome(result, id, operation);
+                ended(result);
+            });
+    };
+    return m_entryCalls.enter(key, request.terms->idempotent, start, std::move(completion));
 }
 
 OutboundCall NodeCore::outboundFor(const EntryRequest &request) const
@@ -227,30 +215,10 @@
     return call;
 }
 
-void NodeCore::finishEntry(std::uint64_t number, const CallResult &result)
-{
-    auto node = m_entryCalls.extract(number);
-    logOutcome(result, node.mapped().request, node.mapped().operation);
-    if (const auto joinable = m_joinable.find(node.mapped().key); joinable != m_joinable.end() && joinable->second == number) {
-        m_joinable.erase(joinable);
-    }
-    for (const auto &[entry, completion] : node.mapped().waiting) {
-        m_entryCallOf.erase(entry);
-        completion(result);
-    }
-}
-
 void NodeCore::leave(EntryNumber entry)
 {
-    const auto number = m_entryCallOf.find(entry);
-    if (number == m_entryCallOf.end()) {
-        return;
-    }
-    const auto call = m_entryCalls.find(number->second);
-    m_entryCallOf.erase(number);
-    call->second.waiting.erase(entry);
-    if (call->second.waiting.empty()) {
-        m_router->cancel(call->second.call);
+    if (const CallId call = m_entryCalls.leave(entry); call != CallId()) {
+        m_router->cancel(call);
     }
 }
 
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/rcucell.h>
 #include <chervilpaddle/controllers/configurationsync.h>
+#include <chervilpaddle/controllers/entrycalls.h>
 #include <chervilpaddle/controllers/executor.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
 #include <chervilpaddle/controllers/ratelimiter.h>
@@ -34,8 +35,6 @@
 {
 public:
     using Completion = std::function<void(const CallResult &)>;
-    //! Names an outside request in progress.
-    using EntryNumber = StrongNumber<struct EntryNumberTag>;
 
     NodeCore(boost::asio::io_context &context, const NodeSettings &settings, EventLog &log);
 
@@ -110,7 +109,6 @@
     bool canReachCalledServices();
     void announceSelf();
     void wantService(const ServiceName &service);
-    void finishEntry(std::uint64_t entryCall, const CallResult &result);
     void logOutcome(const CallResult &result, const RequestId &request, const OperationName &operation);
     OutboundCall outboundFor(const EntryRequest &request) const;
     HelloMessage hello() const;
@@ -139,10 +137,7 @@
     std::unique_ptr<ConfigurationSync> m_sync;
     std::set<ServiceName> m_requestedServices;
     std::map<RunId, std::set<CallId>> m_childCalls;
-    std::map<std::uint64_t, EntryCall> m_entryCalls;
-    std::map<EntryNumber, std::uint64_t> m_entryCallOf;
-    std::map<std::string, std::uint64_t> m_joinable;
-    std::uint64_t m_lastEntry = 0;
+    EntryCalls m_entryCalls;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/transport/httpmessage.cpp
+++ b/src/chervilpaddle/transport/httpmessage.cpp
@@ -17,6 +17,12 @@
     return field == m_fields.end() ? nullptr : &field->second;
 }
 
+std::string HttpHeaders::valueOr(const std::string &name, const std::string &fallback) const
+{
+    const std::string *value = find(name);
+    return value != nullptr ? *value : fallback;
+}
+
 const std::vector<std::pair<std::string, std::string>> &HttpHeaders::fields() const
 {
     return m_fields;
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -14,6 +14,8 @@
     void set(const std::string &name, const std::string &value);
     //! The first field's value, or null.
     const std::string *find(const std::string &name) const;
+    //! The first field's value, or the fallback where there is none.
+    std::string valueOr(const std::string &name, const std::string &fallback) const;
     const std::vector<std::pair<std::string, std::string>> &fields() const;
 
 private:
