--- a/src/chervilpaddle/controllers/entrycalls.h
+++ b/src/chervilpaddle/controllers/entrycalls.h
@@ -26,7 +26,8 @@
     CallId leave(EntryNumber entry);
 
 private:
-    struct Call {
+    struct Call
+    {
         CallId id;
         std::string key;
         std::map<EntryNumber, Completion> waiting;
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -415,6 +415,15 @@
     return static_cast<int>(m_runs.size());
 }
 
+int Executor::heldAllowance() const
+{
+    int held = 0;
+    for (const auto &[id, active] : m_runs) {
+        held += active.run.allowance->held();
+    }
+    return held;
+}
+
 int Executor::slotLimit() const
 {
     return m_slots.limit();
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -100,6 +100,8 @@
     Incarnation incarnation() const;
     bool isDraining() const;
     int running() const;
+    //! Repeats that the runs in progress hold.
+    int heldAllowance() const;
     int slotLimit() const;
     std::size_t queued() const;
     Rank ownPrice() const;
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -406,6 +406,21 @@
         std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.current.has_value(); }));
 }
 
+std::vector<LinkState> LinkController::linkStates() const
+{
+    std::vector<LinkState> states;
+    for (const auto &[instance, peer] : m_peers) {
+        LinkState state{instance, peer.incarnation, peer.current.has_value(), peer.inDoubt, peer.draining, peer.failures, {}};
+        if (peer.current) {
+            if (const auto connection = m_connections.find(*peer.current); connection != m_connections.end()) {
+                state.silence = m_hooks.clock() - connection->second.lastHeard;
+            }
+        }
+        states.push_back(state);
+    }
+    return states;
+}
+
 std::optional<TimePoint> LinkController::lastHeardFrom(const std::vector<InstanceId> &instances) const
 {
     std::optional<TimePoint> last;
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -26,6 +26,19 @@
     Duration waited{};
 };
 
+//! How one link stands, for the dump.
+struct LinkState
+{
+    InstanceId instance;
+    Incarnation incarnation;
+    bool isOpen = false;
+    bool inDoubt = false;
+    bool draining = false;
+    int failedDials = 0;
+    //! Since anything was heard; zero where the link is not open.
+    Duration silence{};
+};
+
 //! Keeps links to the wanted peers: opens them, notices silent ones, races a new one while the old one is in
 //! doubt, and tells who can be reached. Does no I/O. Not thread safe.
 class LinkController
@@ -81,6 +94,7 @@
 
     std::size_t connectionCount() const;
     std::size_t linkCount() const;
+    std::vector<LinkState> linkStates() const;
     //! When anything was last heard over a link to one of these instances.
     std::optional<TimePoint> lastHeardFrom(const std::vector<InstanceId> &instances) const;
 
--- a/src/chervilpaddle/controllers/pricetable.cpp
+++ b/src/chervilpaddle/controllers/pricetable.cpp
@@ -20,6 +20,19 @@
     return known->second.price;
 }
 
+std::map<InstanceId, std::map<OperationName, Rank>> PriceTable::current(TimePoint now) const
+{
+    std::map<InstanceId, std::map<OperationName, Rank>> current;
+    for (const auto &[instance, operations] : m_prices) {
+        for (const auto &[operation, known] : operations) {
+            if (const Rank counted = price(instance, operation, now); counted > 0) {
+                current[instance][operation] = counted;
+            }
+        }
+    }
+    return current;
+}
+
 void PriceTable::forget(const InstanceId &instance)
 {
     m_prices.erase(instance);
--- a/src/chervilpaddle/controllers/pricetable.h
+++ b/src/chervilpaddle/controllers/pricetable.h
@@ -14,6 +14,8 @@
     void record(const InstanceId &instance, const OperationName &operation, Rank price, TimePoint now);
     Rank price(const InstanceId &instance, const OperationName &operation, TimePoint now) const;
     void forget(const InstanceId &instance);
+    //! All prices that still count, by instance and operation.
+    std::map<InstanceId, std::map<OperationName, Rank>> current(TimePoint now) const;
 
 private:
     struct Known
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -350,6 +350,11 @@
     return m_picker.lowestPrice(m_hooks.candidates(serviceOf(operation)), operation, m_hooks.clock());
 }
 
+const InstancePicker &Router::picker() const
+{
+    return m_picker;
+}
+
 const RouterCounters &Router::counters() const
 {
     return m_counters;
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -97,6 +97,7 @@
     std::size_t outstanding() const;
     //! What a call of the operation must be able to pay, over all linked instances.
     Rank price(const OperationName &operation) const;
+    const InstancePicker &picker() const;
     const RouterCounters &counters() const;
 
 private:
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -91,7 +91,6 @@
     std::error_code run()
     {
         if (const std::error_code error = listenAll(); error) {
-            m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, error.message()});
             return error;
         }
         m_coreLoop.start();
@@ -125,12 +124,19 @@
 
     std::error_code listenAll()
     {
-        for (HttpServer *server : {&m_callers, &m_egress, &m_operators}) {
+        const std::pair<HttpServer *, const char *> servers[] = {
+            {&m_callers, "listen.callers"}, {&m_egress, "listen.egress"}, {&m_operators, "listen.operators"}};
+        for (const auto &[server, key] : servers) {
             if (const std::error_code error = server->listen(); error) {
+                m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, key});
                 return error;
             }
         }
-        return m_core.start();
+        const std::error_code error = m_core.start();
+        if (error) {
+            m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, "listen.peers"});
+        }
+        return error;
     }
 
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange)
--- a/src/chervilpaddle/node/statedump.cpp
+++ b/src/chervilpaddle/node/statedump.cpp
@@ -43,6 +43,7 @@
     const Executor &executor = core.executor();
     const ExecutorCounters &counters = executor.counters();
     return {{"running", executor.running()},
+            {"heldAllowance", executor.heldAllowance()},
             {"slotLimit", executor.slotLimit()},
             {"queued", executor.queued()},
             {"price", executor.ownPrice()},
@@ -73,10 +74,37 @@
             {"lateAnswers", counters.lateAnswers}};
 }
 
+json priceState(const NodeCore &core)
+{
+    json state = json::object();
+    for (const auto &[instance, operations] : core.router().picker().prices().current(core.clock()())) {
+        for (const auto &[operation, price] : operations) {
+            state[instance.value()][operation.value()] = price;
+        }
+    }
+    return state;
+}
+
+json linkStates(const NodeCore &core)
+{
+    json states = json::array();
+    for (const LinkState &link : core.links().linkStates()) {
+        states.push_back({{"instance", link.instance.value()},
+                          {"incarnation", link.incarnation.value()},
+                          {"open", link.isOpen},
+                          {"inDoubt", link.inDoubt},
+                          {"leaving", link.draining},
+                          {"failedDials", link.failedDials},
+                          {"silentMs", toMilliseconds(link.silence)}});
+    }
+    return states;
+}
+
 json linkState(const NodeCore &core)
 {
     return {{"links", core.links().linkCount()},
             {"connections", core.links().connectionCount()},
+            {"states", linkStates(core)},
             {"bytesSent", core.transport().bytesSent()},
             {"bytesReceived", core.transport().bytesReceived()}};
 }
@@ -97,6 +125,7 @@
                         {"membership", membershipState(core)},
                         {"executor", executorState(core)},
                         {"router", routerState(core)},
+                        {"prices", priceState(core)},
                         {"peers", linkState(core)}};
     constexpr int indent = 2;
     return state.dump(indent);
--- a/tests/controllers/entrycalls.cpp
+++ b/tests/controllers/entrycalls.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-struct EntryBench {
+struct EntryBench
+{
     EntryNumber enter(const std::string &key, bool mayJoin)
     {
         const auto start = [this](EntryCalls::Completion completion) {
--- a/tests/process/settings.sh
+++ b/tests/process/settings.sh
@@ -15,8 +15,9 @@
 check "a missing file is refused" [ $? -eq 78 ]
 start holder "$binaries/standins/chervilpaddle-standin" platform --listen "${callers_of[pagos-1]}"
 until_true 5 bash -c "exec 3<>/dev/tcp/${callers_of[pagos-1]%:*}/${callers_of[pagos-1]##*:}" 2>/dev/null
-"$daemon" --settings "$good" 2>/dev/null
+message=$("$daemon" --settings "$good" 2>&1)
 check "a port in use ends with status 69" [ $? -eq 69 ]
+check "the message names the setting and the code" grep -q '"code":4005.*listen.callers' <<<"$message"
 tool=$binaries/apps/chervilpaddle
 check "good contracts pass" "$tool" check "$root/examples/contracts/tandas"
 check "good contracts pass" "$tool" check "$root/examples/contracts/stamboliyski"
