--- /dev/null
+++ b/src/chervilpaddle/controllers/all.h
@@ -0,0 +1,24 @@
+#pragma once
+
+//! All public headers of this theme, for convenience; including single headers keeps compile times lower.
+
+#include <chervilpaddle/controllers/admissionqueue.h>
+#include <chervilpaddle/controllers/allowance.h>
+#include <chervilpaddle/controllers/configurationcontroller.h>
+#include <chervilpaddle/controllers/configurationsync.h>
+#include <chervilpaddle/controllers/ejection.h>
+#include <chervilpaddle/controllers/entrycalls.h>
+#include <chervilpaddle/controllers/executor.h>
+#include <chervilpaddle/controllers/instancelist.h>
+#include <chervilpaddle/controllers/instancepicker.h>
+#include <chervilpaddle/controllers/linkclock.h>
+#include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/peerselection.h>
+#include <chervilpaddle/controllers/policyswitches.h>
+#include <chervilpaddle/controllers/pricecontroller.h>
+#include <chervilpaddle/controllers/pricetable.h>
+#include <chervilpaddle/controllers/ratelimiter.h>
+#include <chervilpaddle/controllers/router.h>
+#include <chervilpaddle/controllers/servicetimes.h>
+#include <chervilpaddle/controllers/slotlimit.h>
+#include <chervilpaddle/controllers/ticketregistry.h>
