Work out the readers once for each list, not at every tick

Cause: the fleet test of an outage took 14 s and several minutes under AddressSanitizer. perf by reading: every node hashed and sorted its data centre four times a second, in the daemon too; the fake also chose peers anew for each heartbeat and encoded each message only to count bytes that nothing used. Ruled out: the event queue. Change: readers and peers are kept until the list changes.

--- a/src/chervilpaddle/controllers/configurationsync.cpp
+++ b/src/chervilpaddle/controllers/configurationsync.cpp
@@ -73,7 +73,7 @@
     }
     const TimePoint now = m_hooks.clock();
     const bool hasDocuments = heldRevision(Document::Manifest).value() != 0 && heldRevision(Document::Instances).value() != 0;
-    const auto heard = m_hooks.lastHeardFrom(readersOf(*m_membership.current(), m_base.dataCentre));
+    const auto heard = m_hooks.lastHeardFrom(readers());
     const bool readersAlive = heard && now - *heard < readerSilence;
     if ((hasDocuments && readersAlive) || now < m_nextFallback) {
         return;
@@ -265,7 +265,17 @@
 
 bool ConfigurationSync::isReader() const
 {
-    return chervilpaddle::isReader(*m_membership.current(), m_base);
+    const auto &all = readers();
+    return std::find(all.begin(), all.end(), m_base.instance) != all.end();
+}
+
+const std::vector<InstanceId> &ConfigurationSync::readers() const
+{
+    if (const Revision revision = m_membership.version().revision; revision != m_readersRevision) {
+        m_readers = readersOf(*m_membership.current(), m_base.dataCentre);
+        m_readersRevision = revision;
+    }
+    return m_readers;
 }
 
 const SyncCounters &ConfigurationSync::counters() const
--- a/src/chervilpaddle/controllers/configurationsync.h
+++ b/src/chervilpaddle/controllers/configurationsync.h
@@ -101,6 +101,8 @@
     bool beginPeerFetch(PeerFetch &fetch);
     void serveConfiguration(ConnectionId connection, const ConfigurationRequest &request);
     void serveInstances(ConnectionId connection, const InstancesRequest &request);
+    //! The readers of the own data centre by the list in force; kept until the list changes.
+    const std::vector<InstanceId> &readers() const;
     Duration jittered(Duration base);
     static const char *keyOf(Document document);
     Revision heldRevision(Document document) const;
@@ -117,6 +119,8 @@
     PeerFetch m_configurationFetch;
     PeerFetch m_instancesFetch;
     bool m_contractsBeingRead = false;
+    mutable std::vector<InstanceId> m_readers;
+    mutable Revision m_readersRevision;
     TimePoint m_nextFallback;
 };
 
--- a/support/fakefleet.cpp
+++ b/support/fakefleet.cpp
@@ -1,7 +1,6 @@
 #include "fakefleet.h"
 
 #include <chervilpaddle/contract/manifestdocument.h>
-#include <chervilpaddle/peer/codec.h>
 
 namespace chervilpaddle::support {
 
@@ -280,8 +279,19 @@
     }
 }
 
+const std::set<std::size_t> &FakeFleet::peersOf(std::size_t number) const
+{
+    const Node &node = m_nodes[number];
+    const Revision revision = node.membership->version().revision;
+    if (revision.value() == 0 || node.peersRevision != revision) {
+        node.peers = choosePeers(number);
+        node.peersRevision = revision;
+    }
+    return node.peers;
+}
+
 //! The peers of a node's own choice; with no list yet, its seeds.
-std::set<std::size_t> FakeFleet::peersOf(std::size_t node) const
+std::set<std::size_t> FakeFleet::choosePeers(std::size_t node) const
 {
     const auto list = m_nodes[node].membership->current();
     std::set<std::size_t> peers(m_nodes[node].seeds.begin(), m_nodes[node].seeds.end());
@@ -317,7 +327,6 @@
     if (!connected(from, to) || !m_nodes[to].alive || !*m_nodes[to].alive || !m_nodes[from].alive || !*m_nodes[from].alive) {
         return;
     }
-    bytes += encodeFrame({message, m_time.now()}).size();
     m_time.after(linkLatency, [this, from, to, message, alive = m_nodes[to].alive] {
         if (*alive) {
             m_nodes[to].heard[instanceName(from)] = m_time.now();
--- a/support/fakefleet.h
+++ b/support/fakefleet.h
@@ -85,8 +85,6 @@
 
     //! Data centres that cannot reach each other.
     std::set<std::pair<std::string, std::string>> cuts;
-    //! Bytes of control messages sent, encoded as peers encode them.
-    std::uint64_t bytes = 0;
 
 private:
     struct Node
@@ -97,6 +95,9 @@
         std::unique_ptr<ConfigurationSync> sync;
         std::map<std::string, TimePoint> heard;
         std::vector<std::size_t> seeds;
+        //! The peers chosen from the list of this revision.
+        mutable std::set<std::size_t> peers;
+        mutable Revision peersRevision;
         std::shared_ptr<bool> alive;
     };
 
@@ -105,7 +106,8 @@
     void heartbeat(std::size_t node, const std::shared_ptr<bool> &alive);
     void broadcast(std::size_t node);
     void send(std::size_t from, std::size_t to, const PeerMessage &message);
-    std::set<std::size_t> peersOf(std::size_t node) const;
+    const std::set<std::size_t> &peersOf(std::size_t node) const;
+    std::set<std::size_t> choosePeers(std::size_t node) const;
     bool connected(std::size_t a, std::size_t b) const;
     static std::string instanceName(std::size_t node);
 
