Remove what the change left unused

Found on reading the whole change: a connection's open flag that nothing read, addresses kept beside the seeds' connections, FilterChain::names, the equality of document versions since heartbeats carry revisions only, and an accessor of the fake platform.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -59,7 +59,6 @@
     const TimePoint now = m_hooks.clock();
     Connection &connection = m_connections[id];
     connection.inbound = inbound;
-    connection.open = true;
     connection.created = now;
     connection.lastHeard = now;
     if (!inbound) {
@@ -202,7 +201,7 @@
     if (m_peers.empty() && m_seedDials.empty() && now >= m_nextSeedDial) {
         m_nextSeedDial = now + seedRedial;
         for (const Endpoint &seed : m_seeds) {
-            m_seedDials[m_hooks.dial(seed)] = seed;
+            m_seedDials.insert(m_hooks.dial(seed));
         }
     }
     sendHeartbeats(now);
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace chervilpaddle {
@@ -102,7 +103,6 @@
     struct Connection
     {
         bool inbound = false;
-        bool open = false;
         InstanceId instance;
         Incarnation incarnation;
         bool introduced = false;
@@ -154,7 +154,7 @@
     std::map<ConnectionId, Connection> m_connections;
     std::map<InstanceId, Peer> m_peers;
     std::vector<Endpoint> m_seeds;
-    std::map<ConnectionId, Endpoint> m_seedDials;
+    std::set<ConnectionId> m_seedDials;
     TimePoint m_nextSeedDial;
     std::map<ServiceName, std::vector<Candidate>> m_candidates;
     bool m_candidatesStale = true;
--- a/src/chervilpaddle/filters/filterchain.cpp
+++ b/src/chervilpaddle/filters/filterchain.cpp
@@ -17,13 +17,4 @@
     return std::nullopt;
 }
 
-std::vector<std::string> FilterChain::names() const
-{
-    std::vector<std::string> names;
-    for (const Link &link : m_links) {
-        names.push_back(link.name);
-    }
-    return names;
-}
-
 } // namespace chervilpaddle
--- a/src/chervilpaddle/filters/filterchain.h
+++ b/src/chervilpaddle/filters/filterchain.h
@@ -25,7 +25,6 @@
     //! Precondition: no request is being run yet.
     void add(const std::string &name, Filter filter);
     std::optional<Refusal> run(EntryRequest &request) const;
-    std::vector<std::string> names() const;
 
 private:
     struct Link
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -117,11 +117,6 @@
 {
     Revision revision;
     std::string digest;
-
-    friend bool operator==(const DocumentVersion &a, const DocumentVersion &b)
-    {
-        return a.revision == b.revision && a.digest == b.digest;
-    }
 };
 
 //! Heartbeat, and news of the sender's state.
--- a/support/fakefleet.cpp
+++ b/support/fakefleet.cpp
@@ -126,11 +126,6 @@
     }
 }
 
-Revision FakePlatform::manifestRevision() const
-{
-    return Revision(m_manifestRevision);
-}
-
 std::uint64_t FakePlatform::calls() const
 {
     return m_calls;
--- a/support/fakefleet.h
+++ b/support/fakefleet.h
@@ -31,7 +31,6 @@
     void read(const std::string &dataCentre, const std::string &key, ConfigurationSync::PlatformReply reply);
     void watch(const std::string &dataCentre, const std::string &key, Revision after, ConfigurationSync::PlatformReply reply);
 
-    Revision manifestRevision() const;
     std::uint64_t calls() const;
 
 private:
