--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -13,7 +13,8 @@
 constexpr int exitBadSettings = 78;
 constexpr int exitCannotListen = 69;
 
-struct Arguments {
+struct Arguments
+{
     std::string settingsFile;
     std::vector<std::string> overrides;
     bool checkOnly = false;
--- a/apps/tool/callclient.h
+++ b/apps/tool/callclient.h
@@ -11,7 +11,8 @@
 namespace chervilpaddle::tool {
 
 //! One request as an outside caller sends it.
-struct CallerRequest {
+struct CallerRequest
+{
     CustomerName customer;
     OperationName operation;
     RequestId request;
@@ -23,7 +24,8 @@
 };
 
 //! What an outside caller learns of its request.
-struct CallerResult {
+struct CallerResult
+{
     ResultCode code = ResultCode::NoInstance;
     Outcome outcome = Outcome::NotRun;
     int status = 0;
--- a/apps/tool/checkcommand.cpp
+++ b/apps/tool/checkcommand.cpp
@@ -14,7 +14,11 @@
     nlohmann::json rows = nlohmann::json::array();
     for (const Problem &problem : problems) {
         std::fprintf(stderr, "%s\n", toText(problem).c_str());
-        rows.push_back({{"code", static_cast<int>(problem.code)}, {"file", problem.file}, {"line", problem.line}, {"key", problem.key}, {"reason", problem.reason}});
+        rows.push_back({{"code", static_cast<int>(problem.code)},
+                        {"file", problem.file},
+                        {"line", problem.line},
+                        {"key", problem.key},
+                        {"reason", problem.reason}});
     }
     if (json) {
         std::printf("%s\n", nlohmann::json({{"valid", false}, {"problems", rows}}).dump().c_str());
@@ -46,7 +50,18 @@
         std::printf("%s\n", nlohmann::json({{"valid", true}, {"limits", limits}}).dump().c_str());
         return;
     }
-    std::printf("%-14s %-18s %6s %9s %7s %7s %6s %6s %6s %9s %7s\n", "customer", "operation", "worth", "deadline", "ticket", "grant", "depth", "calls", "most", "rate/s", "burst");
+    std::printf("%-14s %-18s %6s %9s %7s %7s %6s %6s %6s %9s %7s\n",
+                "customer",
+                "operation",
+                "worth",
+                "deadline",
+                "ticket",
+                "grant",
+                "depth",
+                "calls",
+                "most",
+                "rate/s",
+                "burst");
     for (const DerivedLimits &row : rows) {
         std::printf("%-14s %-18s %6d %7.0fms %7s %7d %6d %6d %6d %9.0f %7.0f\n",
                     row.customer.value().c_str(),
@@ -85,7 +100,12 @@
             const int number = static_cast<int>(row.code);
             const bool isCall = number >= 1000 && number < 4000;
             const std::string http = row.httpStatus == 0 ? "-" : std::to_string(row.httpStatus);
-            std::printf("| %d | %s | %s | %s | %s |\n", number, row.name, isCall ? outcomeName(outcomeOf(row.code)) : "-", http.c_str(), row.meaning);
+            std::printf("| %d | %s | %s | %s | %s |\n",
+                        number,
+                        row.name,
+                        isCall ? outcomeName(outcomeOf(row.code)) : "-",
+                        http.c_str(),
+                        row.meaning);
         }
         return 0;
     }
--- a/apps/tool/loadcommand.cpp
+++ b/apps/tool/loadcommand.cpp
@@ -4,6 +4,7 @@
 
 #include <chervilpaddle/base/inidocument.h>
 #include <chervilpaddle/base/random.h>
+#include <chervilpaddle/base/units.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t largestAnswer = 16 * 1024 * 1024;
+constexpr std::size_t largestAnswer = 16 * mebibyte;
 //! A caller gives up this long after the deadline.
 constexpr Duration callerSlack = std::chrono::milliseconds(500);
 
@@ -46,7 +47,8 @@
     }
 
 private:
-    struct Request {
+    struct Request
+    {
         std::size_t stream = 0;
         std::size_t phase = 0;
         TimePoint sent;
@@ -109,7 +111,9 @@
         request->call.attempt = request->attempts;
         ++request->attempts;
         const Endpoint &target = kind.targets[uniformIndex(m_random, kind.targets.size())];
-        sendRequest(clientFor(target), request->call, kind.deadline + callerSlack, [this, request](const CallerResult &result) { attemptEnded(request, result); });
+        sendRequest(clientFor(target), request->call, kind.deadline + callerSlack, [this, request](const CallerResult &result) {
+            attemptEnded(request, result);
+        });
     }
 
     void attemptEnded(const std::shared_ptr<Request> &request, const CallerResult &result)
@@ -130,7 +134,8 @@
             attempt(request);
             return;
         }
-        LoadOutcome outcome{request->call.request, request->stream, request->phase, request->sent, m_clock(), result, request->attempts, false};
+        LoadOutcome outcome{
+            request->call.request, request->stream, request->phase, request->sent, m_clock(), result, request->attempts, false};
         outcome.result.repeatsSpent = request->repeatsSpent;
         if (result.outcome == Outcome::NotRun && mayHaveRunAfter(*request, result)) {
             outcome.result.outcome = Outcome::Unknown;
--- a/apps/tool/loadplan.cpp
+++ b/apps/tool/loadplan.cpp
@@ -153,7 +153,8 @@
 
 double LoadPhase::multiplierFor(const LoadStream &stream) const
 {
-    const auto own = std::find_if(ownMultipliers.begin(), ownMultipliers.end(), [&](const auto &entry) { return entry.first == stream.name; });
+    const auto own =
+        std::find_if(ownMultipliers.begin(), ownMultipliers.end(), [&](const auto &entry) { return entry.first == stream.name; });
     return own == ownMultipliers.end() ? multiplier : own->second;
 }
 
--- a/apps/tool/loadplan.h
+++ b/apps/tool/loadplan.h
@@ -11,7 +11,8 @@
 namespace chervilpaddle::tool {
 
 //! One kind of request in a load.
-struct LoadStream {
+struct LoadStream
+{
     std::string name;
     CustomerName customer;
     OperationName operation;
@@ -25,7 +26,8 @@
 };
 
 //! A time during which the streams' rates are multiplied.
-struct LoadPhase {
+struct LoadPhase
+{
     std::string name;
     Duration length{};
     double multiplier = 1;
@@ -35,7 +37,8 @@
     double multiplierFor(const LoadStream &stream) const;
 };
 
-struct LoadPlan {
+struct LoadPlan
+{
     std::uint64_t seed = 1;
     std::vector<LoadStream> streams;
     std::vector<LoadPhase> phases;
--- a/apps/tool/loadreport.cpp
+++ b/apps/tool/loadreport.cpp
@@ -45,8 +45,9 @@
     LoadTotals &totals = m_totals[outcome.phase][outcome.stream];
     Interval &sentIn = m_intervals[outcome.stream][intervalOf(m_start, outcome.sent)];
     Interval &endedIn = m_intervals[outcome.stream][intervalOf(m_start, outcome.ended)];
-    m_requests += outcome.request.value() + ' ' + m_plan.streams[outcome.stream].operation.value() + ' ' + outcomeName(outcome.result.outcome) + ' '
-        + std::to_string(static_cast<int>(outcome.result.code)) + ' ' + std::to_string(outcome.result.repeatsSpent) + '\n';
+    m_requests += outcome.request.value() + ' ' + m_plan.streams[outcome.stream].operation.value() + ' '
+        + outcomeName(outcome.result.outcome) + ' ' + std::to_string(static_cast<int>(outcome.result.code)) + ' '
+        + std::to_string(outcome.result.repeatsSpent) + '\n';
     ++totals.sent;
     ++sentIn.sent;
     ++totals.codes[static_cast<int>(outcome.result.code)];
@@ -79,7 +80,18 @@
 
 void LoadReport::printTable() const
 {
-    std::printf("%-12s %-26s %8s %8s %8s %8s %8s %8s %8s %9s %9s\n", "phase", "stream", "sent", "done", "in time", "failed", "not run", "unknown", "repeats", "p50 ms", "p99 ms");
+    std::printf("%-12s %-26s %8s %8s %8s %8s %8s %8s %8s %9s %9s\n",
+                "phase",
+                "stream",
+                "sent",
+                "done",
+                "in time",
+                "failed",
+                "not run",
+                "unknown",
+                "repeats",
+                "p50 ms",
+                "p99 ms");
     for (std::size_t phase = 0; phase < m_totals.size(); ++phase) {
         for (std::size_t stream = 0; stream < m_totals[phase].size(); ++stream) {
             const LoadTotals &totals = m_totals[phase][stream];
@@ -138,8 +150,8 @@
     text << "seconds,stream,sent,done_in_time,not_run,unknown\n";
     for (std::size_t stream = 0; stream < m_intervals.size(); ++stream) {
         for (const auto &[number, interval] : m_intervals[stream]) {
-            text << static_cast<double>(number) / intervalsPerSecond << ',' << m_plan.streams[stream].name << ',' << interval.sent << ',' << interval.doneInTime << ',' << interval.notRun << ','
-                 << interval.unknown << '\n';
+            text << static_cast<double>(number) / intervalsPerSecond << ',' << m_plan.streams[stream].name << ',' << interval.sent << ','
+                 << interval.doneInTime << ',' << interval.notRun << ',' << interval.unknown << '\n';
         }
     }
     return text.str();
@@ -182,7 +194,8 @@
     const double highest = std::max(1.0, *std::max_element(goodput.begin(), goodput.end()));
     std::ostringstream text;
     text << "<svg xmlns='http://www.w3.org/2000/svg' width='" << width << "' height='" << height << "'>\n"
-         << "<rect width='100%' height='100%' fill='white'/>\n<text x='" << margin << "' y='20' font-size='14'>requests done in time, each second (highest " << highest << ")</text>\n"
+         << "<rect width='100%' height='100%' fill='white'/>\n<text x='" << margin
+         << "' y='20' font-size='14'>requests done in time, each second (highest " << highest << ")</text>\n"
          << "<polyline fill='none' stroke='steelblue' stroke-width='1.5' points='";
     for (std::size_t number = 0; number < goodput.size(); ++number) {
         const double x = margin + (width - 2 * margin) * static_cast<double>(number) / static_cast<double>(goodput.size());
@@ -193,8 +206,8 @@
     Duration before{};
     for (const LoadPhase &phase : m_plan.phases) {
         const double x = margin + (width - 2 * margin) * static_cast<double>(before / intervalLength) / static_cast<double>(goodput.size());
-        text << "<line x1='" << x << "' x2='" << x << "' y1='30' y2='" << height - margin << "' stroke='grey'/><text x='" << x + 3 << "' y='" << height - margin + 15 << "' font-size='12'>" << phase.name
-             << "</text>\n";
+        text << "<line x1='" << x << "' x2='" << x << "' y1='30' y2='" << height - margin << "' stroke='grey'/><text x='" << x + 3
+             << "' y='" << height - margin + 15 << "' font-size='12'>" << phase.name << "</text>\n";
         before += phase.length;
     }
     text << "</svg>\n";
--- a/apps/tool/loadreport.h
+++ b/apps/tool/loadreport.h
@@ -10,7 +10,8 @@
 namespace chervilpaddle::tool {
 
 //! How one request of a load ended, with all its repeats.
-struct LoadOutcome {
+struct LoadOutcome
+{
     RequestId request;
     std::size_t stream = 0;
     std::size_t phase = 0;
@@ -23,7 +24,8 @@
 };
 
 //! Counts of a stream over a phase or over a whole load.
-struct LoadTotals {
+struct LoadTotals
+{
     std::uint64_t sent = 0;
     std::uint64_t done = 0;
     std::uint64_t doneInTime = 0;
@@ -64,7 +66,8 @@
     std::string m_requests;
     //! By phase, then by stream.
     std::vector<std::vector<LoadTotals>> m_totals;
-    struct Interval {
+    struct Interval
+    {
         std::uint64_t sent = 0;
         std::uint64_t doneInTime = 0;
         std::uint64_t notRun = 0;
--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -11,7 +11,9 @@
     int status = 0;
 
     CheckArguments check;
-    auto *checkCommand = app.add_subcommand("check", "Checks a directory of contracts and shows the limits that follow\nExample: chervilpaddle check examples/contracts/tandas");
+    auto *checkCommand = app.add_subcommand(
+        "check",
+        "Checks a directory of contracts and shows the limits that follow\nExample: chervilpaddle check examples/contracts/tandas");
     checkCommand->add_option("directory", check.directory)->required();
     checkCommand->add_flag("--json", check.json);
     checkCommand->callback([&] { status = checkContracts(check); });
@@ -25,7 +27,8 @@
     drainCommand->callback([&] { status = drainNode(node); });
 
     CallArguments call;
-    auto *callCommand = app.add_subcommand("call", "Sends one call; fetches a ticket where one is needed\nExample: chervilpaddle call 127.0.0.1:9001 phones saldos.read");
+    auto *callCommand = app.add_subcommand(
+        "call", "Sends one call; fetches a ticket where one is needed\nExample: chervilpaddle call 127.0.0.1:9001 phones saldos.read");
     callCommand->add_option("address", call.address, "The node's address for callers")->required();
     callCommand->add_option("customer", call.customer)->required();
     callCommand->add_option("operation", call.operation)->required();
@@ -36,7 +39,8 @@
     callCommand->callback([&] { status = sendCall(call); });
 
     LoadArguments load;
-    auto *loadCommand = app.add_subcommand("load", "Sends an open-loop load in phases\nExample: chervilpaddle load surge.ini --csv surge.csv --svg surge.svg");
+    auto *loadCommand = app.add_subcommand(
+        "load", "Sends an open-loop load in phases\nExample: chervilpaddle load surge.ini --csv surge.csv --svg surge.svg");
     loadCommand->add_option("file", load.file, "The load's settings (INI), see docs/LOAD.md")->required();
     loadCommand->add_option("--csv", load.csv, "Writes counts for each tenth of a second");
     loadCommand->add_option("--svg", load.svg, "Writes a plot of the goodput");
--- a/apps/tool/nodecommands.cpp
+++ b/apps/tool/nodecommands.cpp
@@ -1,6 +1,8 @@
 #include "callclient.h"
 #include "toolcommands.h"
 
+#include <chervilpaddle/base/units.h>
+
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -11,11 +13,11 @@
 
 constexpr Duration operatorTimeout = std::chrono::seconds(5);
 constexpr Duration callTimeout = std::chrono::seconds(310);
-constexpr std::size_t largestAnswer = 16 * 1024 * 1024;
+constexpr std::size_t largestAnswer = 16 * mebibyte;
 
 std::optional<Endpoint> addressOrComplain(const std::string &text)
 {
-    const auto endpoint = parseEndpoint(text);
+    auto endpoint = parseEndpoint(text);
     if (!endpoint) {
         std::fprintf(stderr, "chervilpaddle: '%s' is not an address such as 127.0.0.1:9004\n", text.c_str());
     }
--- a/apps/tool/toolcommands.h
+++ b/apps/tool/toolcommands.h
@@ -9,19 +9,22 @@
 constexpr int exitNegative = 1;
 constexpr int exitUsage = 2;
 
-struct CheckArguments {
+struct CheckArguments
+{
     std::string directory;
     bool json = false;
 };
 int checkContracts(const CheckArguments &arguments);
 
-struct NodeArguments {
+struct NodeArguments
+{
     std::string address;
 };
 int showState(const NodeArguments &arguments);
 int drainNode(const NodeArguments &arguments);
 
-struct CallArguments {
+struct CallArguments
+{
     std::string address;
     std::string customer;
     std::string operation;
@@ -32,7 +35,8 @@
 };
 int sendCall(const CallArguments &arguments);
 
-struct LoadArguments {
+struct LoadArguments
+{
     std::string file;
     std::string csv;
     std::string svg;
@@ -41,7 +45,8 @@
 };
 int runLoad(const LoadArguments &arguments);
 
-struct ExplainArguments {
+struct ExplainArguments
+{
     int code = 0;
     bool all = false;
 };
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,7 +1,7 @@
 #include "scenario.h"
 
-#include <CLI/CLI.hpp>
 #include <algorithm>
+#include <CLI/CLI.hpp>
 #include <cstdio>
 #include <fstream>
 
@@ -76,7 +76,8 @@
     return all;
 }
 
-struct Spread {
+struct Spread
+{
     double low = 0;
     double median = 0;
     double high = 0;
@@ -92,6 +93,7 @@
 Spread spreadOf(const std::vector<Outcome> &outcomes, Member member)
 {
     std::vector<double> values;
+    values.reserve(outcomes.size());
     for (const Outcome &outcome : outcomes) {
         values.push_back(static_cast<double>(outcome.*member));
     }
@@ -147,7 +149,8 @@
         seeds = std::min(seeds, 3);
     }
 
-    std::printf("| case | variant | goodput of capacity, median (spread) | worth of best | top worth served | wasted | recovery s | most runs a root |\n");
+    std::printf("| case | variant | goodput of capacity, median (spread) | worth of best | top worth served | wasted | recovery s | most "
+                "runs a root |\n");
     std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
     for (const Scenario &scenario : scenarios(quick)) {
         if (scenario.name.find(only) == std::string::npos) {
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -43,7 +43,8 @@
     }
 
 private:
-    struct Root {
+    struct Root
+    {
         std::size_t kind = 0;
         std::string id;
         TimePoint sent;
@@ -67,7 +68,8 @@
             }
             m_services.describe(OperationName(serviceName(level) + ".run"), operation);
             for (int number = 0; number < m_scenario.nodesPerService; ++number) {
-                m_services.addNode(serviceName(level) + "-" + std::to_string(number), serviceName(level), "centre-a", slotsAt(level), m_variant.policy);
+                m_services.addNode(
+                    serviceName(level) + "-" + std::to_string(number), serviceName(level), "centre-a", slotsAt(level), m_variant.policy);
             }
         }
     }
@@ -131,7 +133,8 @@
         call.allowance = std::make_shared<Allowance>(root->attempts > 0 ? 0 : m_scenario.grant);
         ++root->attempts;
         const auto level = serviceOf(call.context.operation).value();
-        FakeNode &entry = m_services.node(level + "-" + std::to_string(uniformIndex(m_random, static_cast<std::size_t>(m_scenario.nodesPerService))));
+        FakeNode &entry =
+            m_services.node(level + "-" + std::to_string(uniformIndex(m_random, static_cast<std::size_t>(m_scenario.nodesPerService))));
         entry.router().call(std::move(call), [this, root](const CallResult &result) { attemptEnded(root, result); });
     }
 
@@ -220,7 +223,8 @@
 
     void evaluateRoots(Outcome &outcome) const
     {
-        const auto top = std::max_element(m_scenario.kinds.begin(), m_scenario.kinds.end(), [](const auto &a, const auto &b) { return a.worth < b.worth; });
+        const auto top = std::max_element(
+            m_scenario.kinds.begin(), m_scenario.kinds.end(), [](const auto &a, const auto &b) { return a.worth < b.worth; });
         double topSent = 0;
         double topDone = 0;
         double slotTime = 0;
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <chervilpaddle/controllers/policyswitches.h>
 #include <chervilpaddle/base/clock.h>
+#include <chervilpaddle/controllers/policyswitches.h>
 
 #include <cstdint>
 #include <string>
@@ -10,13 +10,15 @@
 namespace chervilpaddle::bench {
 
 //! One way of running the services, to be compared with the others on the same seeds.
-struct Variant {
+struct Variant
+{
     std::string name;
     PolicySwitches policy;
 };
 
 //! One kind of root request: a chain from the first service down to `depth`.
-struct RootKind {
+struct RootKind
+{
     std::string name;
     int worth = 1;
     //! Share of all roots.
@@ -26,7 +28,8 @@
 };
 
 //! A load on a chain of services in virtual time.
-struct Scenario {
+struct Scenario
+{
     std::string name;
     int depth = 3;
     int nodesPerService = 3;
@@ -50,7 +53,8 @@
 };
 
 //! What came of a scenario under one variant.
-struct Outcome {
+struct Outcome
+{
     //! Root requests done in time during the pressure, each second, over the bottleneck's capacity then.
     double goodputShare = 0;
     //! The same weighted by worth, over the best that capacity allows.
--- a/src/chervilpaddle/base/ids.h
+++ b/src/chervilpaddle/base/ids.h
@@ -103,14 +103,16 @@
 
 namespace std {
 template<typename Tag>
-struct hash<chervilpaddle::StrongString<Tag>> {
+struct hash<chervilpaddle::StrongString<Tag>>
+{
     size_t operator()(const chervilpaddle::StrongString<Tag> &s) const noexcept
     {
         return hash<string>()(s.value());
     }
 };
 template<typename Tag, typename Number>
-struct hash<chervilpaddle::StrongNumber<Tag, Number>> {
+struct hash<chervilpaddle::StrongNumber<Tag, Number>>
+{
     size_t operator()(chervilpaddle::StrongNumber<Tag, Number> n) const noexcept
     {
         return hash<Number>()(n.value());
--- a/src/chervilpaddle/base/inidocument.cpp
+++ b/src/chervilpaddle/base/inidocument.cpp
@@ -12,7 +12,8 @@
 //! The longest line that inih takes without cutting it.
 constexpr std::size_t longestLine = INI_MAX_LINE - 2;
 
-struct ParseState {
+struct ParseState
+{
     std::istringstream input;
     int line = 0;
     bool indented = false;
--- a/src/chervilpaddle/base/inidocument.h
+++ b/src/chervilpaddle/base/inidocument.h
@@ -8,13 +8,15 @@
 
 namespace chervilpaddle {
 
-struct IniEntry {
+struct IniEntry
+{
     std::string key;
     std::string value;
     int line = 0;
 };
 
-struct IniSection {
+struct IniSection
+{
     std::string name;
     int line = 0;
     std::vector<IniEntry> entries;
@@ -24,7 +26,8 @@
 };
 
 //! An INI text with the line of every entry kept, for error messages.
-struct IniDocument {
+struct IniDocument
+{
     std::string file;
     std::vector<IniSection> sections;
 
--- a/src/chervilpaddle/base/problem.h
+++ b/src/chervilpaddle/base/problem.h
@@ -7,7 +7,8 @@
 namespace chervilpaddle {
 
 //! One fault found in a text that an operator wrote: where, what and why.
-struct Problem {
+struct Problem
+{
     ResultCode code = ResultCode::Success;
     std::string file;
     int line = 0;
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -84,7 +84,8 @@
 };
 
 //! One row of the table of result codes.
-struct ResultCodeRow {
+struct ResultCodeRow
+{
     ResultCode code;
     const char *name;
     const char *meaning;
@@ -115,6 +116,7 @@
 
 namespace std {
 template<>
-struct is_error_code_enum<chervilpaddle::ResultCode> : true_type {
+struct is_error_code_enum<chervilpaddle::ResultCode> : true_type
+{
 };
 } // namespace std
--- a/src/chervilpaddle/contract/bundle.cpp
+++ b/src/chervilpaddle/contract/bundle.cpp
@@ -36,7 +36,10 @@
     void checkCustomer(const CustomerName &named, const Contract &contract)
     {
         if (contract.customer != named) {
-            report(ResultCode::ContractCustomerUnknown, contract, 0, "the contract names customer '" + contract.customer.value() + "', the manifest '" + named.value() + "'");
+            report(ResultCode::ContractCustomerUnknown,
+                   contract,
+                   0,
+                   "the contract names customer '" + contract.customer.value() + "', the manifest '" + named.value() + "'");
         }
     }
 
@@ -44,7 +47,10 @@
     {
         const auto &services = m_bundle.manifest.services;
         if (std::find(services.begin(), services.end(), serviceOf(terms.operation)) == services.end()) {
-            report(ResultCode::ContractServiceUnknown, contract, terms.line, "service '" + serviceOf(terms.operation).value() + "' is not in the manifest");
+            report(ResultCode::ContractServiceUnknown,
+                   contract,
+                   terms.line,
+                   "service '" + serviceOf(terms.operation).value() + "' is not in the manifest");
         }
     }
 
@@ -53,14 +59,23 @@
         for (const OperationName &name : terms.calls) {
             const OperationTerms *callee = contract.find(name);
             if (callee == nullptr) {
-                report(ResultCode::ContractOperationUnknown, contract, terms.line, terms.operation.value() + " calls " + name.value() + ", which the contract does not describe");
+                report(ResultCode::ContractOperationUnknown,
+                       contract,
+                       terms.line,
+                       terms.operation.value() + " calls " + name.value() + ", which the contract does not describe");
                 continue;
             }
             if (terms.idempotent && !callee->idempotent) {
-                report(ResultCode::ContractRepeatsUnsafe, contract, terms.line, terms.operation.value() + " is idempotent but calls " + name.value() + ", which is not");
+                report(ResultCode::ContractRepeatsUnsafe,
+                       contract,
+                       terms.line,
+                       terms.operation.value() + " is idempotent but calls " + name.value() + ", which is not");
             }
             if (terms.deadline < callee->deadline) {
-                report(ResultCode::ContractDeadlineShort, contract, terms.line, terms.operation.value() + " has a shorter deadline than " + name.value() + ", which it calls");
+                report(ResultCode::ContractDeadlineShort,
+                       contract,
+                       terms.line,
+                       terms.operation.value() + " has a shorter deadline than " + name.value() + ", which it calls");
             }
         }
     }
@@ -92,7 +107,10 @@
     {
         const auto [first, isNew] = m_firstTerms.emplace(terms.operation, &terms);
         if (!isNew && first->second->idempotent != terms.idempotent) {
-            report(ResultCode::ContractDisagrees, contract, terms.line, "another contract says otherwise on whether " + terms.operation.value() + " is idempotent");
+            report(ResultCode::ContractDisagrees,
+                   contract,
+                   terms.line,
+                   "another contract says otherwise on whether " + terms.operation.value() + " is idempotent");
         }
     }
 
@@ -108,7 +126,8 @@
     std::set<const OperationTerms *> m_tooDeep;
 };
 
-struct TreeShape {
+struct TreeShape
+{
     int depth = 0;
     int calls = 0;
 };
--- a/src/chervilpaddle/contract/bundle.h
+++ b/src/chervilpaddle/contract/bundle.h
@@ -9,14 +9,16 @@
 namespace chervilpaddle {
 
 //! The list of what is in force: one revision, the customers with the digest of each contract, and the known services.
-struct Manifest {
+struct Manifest
+{
     Revision revision;
     std::map<CustomerName, std::string> contractDigests;
     std::vector<ServiceName> services;
 };
 
 //! All contracts of one revision, checked together. Immutable once built; safe to read from any thread.
-struct ContractBundle {
+struct ContractBundle
+{
     Manifest manifest;
     //! The text of each contract, kept so that peers can be served.
     std::map<CustomerName, std::string> texts;
@@ -46,7 +48,8 @@
 std::string manifestDigest(const Manifest &manifest);
 
 //! One row of the limits that follow from a contract.
-struct DerivedLimits {
+struct DerivedLimits
+{
     CustomerName customer;
     OperationName operation;
     Worth worth;
--- a/src/chervilpaddle/contract/contract.cpp
+++ b/src/chervilpaddle/contract/contract.cpp
@@ -165,7 +165,8 @@
     {
         const auto dot = name.find('.');
         const bool oneDot = dot != std::string::npos && name.find('.', dot + 1) == std::string::npos;
-        const bool plain = std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '.' || c == '-'; });
+        const bool plain =
+            std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '.' || c == '-'; });
         return oneDot && plain && dot > 0 && dot + 1 < name.size();
     }
 
--- a/src/chervilpaddle/contract/contract.h
+++ b/src/chervilpaddle/contract/contract.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/problem.h>
+#include <chervilpaddle/base/units.h>
 
 #include <map>
 #include <optional>
@@ -17,10 +18,11 @@
 constexpr int maximumCallDepth = 21;
 constexpr Duration longestDeadline = std::chrono::minutes(5);
 //! The platform holds values up to this size.
-constexpr std::size_t largestContractBytes = 1024 * 1024;
+constexpr std::size_t largestContractBytes = mebibyte;
 
 //! What one customer's contract says of one operation.
-struct OperationTerms {
+struct OperationTerms
+{
     OperationName operation;
     Worth worth{minimumWorth};
     Duration deadline{};
@@ -35,7 +37,8 @@
 };
 
 //! One customer's contract.
-struct Contract {
+struct Contract
+{
     CustomerName customer;
     std::string file;
     std::vector<OperationTerms> operations;
--- a/src/chervilpaddle/contract/manifestdocument.cpp
+++ b/src/chervilpaddle/contract/manifestdocument.cpp
@@ -27,7 +27,8 @@
 
 std::string formatManifest(const Manifest &manifest)
 {
-    nlohmann::json document = {{"revision", manifest.revision.value()}, {"contracts", nlohmann::json::object()}, {"services", nlohmann::json::array()}};
+    nlohmann::json document = {
+        {"revision", manifest.revision.value()}, {"contracts", nlohmann::json::object()}, {"services", nlohmann::json::array()}};
     for (const auto &[customer, digest] : manifest.contractDigests) {
         document["contracts"][customer.value()] = digest;
     }
--- a/src/chervilpaddle/controllers/admissionqueue.h
+++ b/src/chervilpaddle/controllers/admissionqueue.h
@@ -8,7 +8,8 @@
 
 namespace chervilpaddle {
 
-struct QueuedCall {
+struct QueuedCall
+{
     TicketId ticket;
     OperationName operation;
     Rank rank = 0;
@@ -37,7 +38,8 @@
     bool isEmpty() const;
 
 private:
-    struct Position {
+    struct Position
+    {
         int worthClass = 0;
         int depth = 0;
         Rank rank = 0;
@@ -45,10 +47,12 @@
 
         friend bool operator<(const Position &a, const Position &b)
         {
-            return std::make_tuple(-a.worthClass, -a.depth, -a.rank, a.arrivalNumber) < std::make_tuple(-b.worthClass, -b.depth, -b.rank, b.arrivalNumber);
+            return std::make_tuple(-a.worthClass, -a.depth, -a.rank, a.arrivalNumber)
+                < std::make_tuple(-b.worthClass, -b.depth, -b.rank, b.arrivalNumber);
         }
     };
-    struct Entry {
+    struct Entry
+    {
         Position position;
         QueuedCall call;
     };
--- a/src/chervilpaddle/controllers/configurationcontroller.cpp
+++ b/src/chervilpaddle/controllers/configurationcontroller.cpp
@@ -66,7 +66,8 @@
     return m_refusalReasons;
 }
 
-std::map<CustomerName, std::string> ConfigurationController::assemble(const Manifest &manifest, const std::map<CustomerName, std::string> &texts) const
+std::map<CustomerName, std::string> ConfigurationController::assemble(const Manifest &manifest,
+                                                                      const std::map<CustomerName, std::string> &texts) const
 {
     std::map<CustomerName, std::string> all;
     for (const auto &[customer, digest] : manifest.contractDigests) {
--- a/src/chervilpaddle/controllers/configurationsync.cpp
+++ b/src/chervilpaddle/controllers/configurationsync.cpp
@@ -28,17 +28,15 @@
 } // namespace
 
 //! The contracts of one manifest, being read one by one.
-struct ManifestFetch {
+struct ManifestFetch
+{
     Manifest manifest;
     std::vector<CustomerName> missing;
     std::map<CustomerName, std::string> texts;
 };
 
-ConfigurationSync::ConfigurationSync(SelectionBase base,
-                                     ConfigurationController &configuration,
-                                     MembershipController &membership,
-                                     Hooks hooks,
-                                     std::uint64_t seed)
+ConfigurationSync::ConfigurationSync(
+    SelectionBase base, ConfigurationController &configuration, MembershipController &membership, Hooks hooks, std::uint64_t seed)
     : m_base(std::move(base))
     , m_configuration(configuration)
     , m_membership(membership)
@@ -93,7 +91,8 @@
     }
     watch.running = true;
     ++m_counters.watches;
-    m_hooks.watch(keyOf(document), heldRevision(document), [this, document](const PlatformAnswer &answer) { watchAnswered(document, answer); });
+    m_hooks.watch(
+        keyOf(document), heldRevision(document), [this, document](const PlatformAnswer &answer) { watchAnswered(document, answer); });
 }
 
 void ConfigurationSync::watchAnswered(Document document, const PlatformAnswer &answer)
@@ -162,7 +161,8 @@
     const CustomerName customer = fetch->missing.back();
     ++m_counters.reads;
     m_hooks.read(platformkeys::contract(customer), [this, fetch, customer](const PlatformAnswer &answer) {
-        const bool matches = answer.status == PlatformAnswer::Status::Value && contractDigest(answer.value) == fetch->manifest.contractDigests.at(customer);
+        const bool matches =
+            answer.status == PlatformAnswer::Status::Value && contractDigest(answer.value) == fetch->manifest.contractDigests.at(customer);
         if (!matches) {
             // Published between the two reads, or not there yet: start again from a newer manifest.
             ++m_counters.failures;
--- a/src/chervilpaddle/controllers/configurationsync.h
+++ b/src/chervilpaddle/controllers/configurationsync.h
@@ -11,7 +11,8 @@
 namespace chervilpaddle {
 
 //! The platform's answer to a read or a watch.
-struct PlatformAnswer {
+struct PlatformAnswer
+{
     enum class Status {
         Value,
         Unchanged, //!< A watch ended without news.
@@ -29,7 +30,8 @@
 } // namespace platformkeys
 
 //! Counters of the reads that a node made.
-struct SyncCounters {
+struct SyncCounters
+{
     std::uint64_t reads = 0;
     std::uint64_t watches = 0;
     std::uint64_t failures = 0;
@@ -44,7 +46,8 @@
 {
 public:
     using PlatformReply = std::function<void(const PlatformAnswer &)>;
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         Scheduler schedule;
         std::function<void(const std::string &key, PlatformReply)> read;
@@ -56,7 +59,8 @@
         std::function<void()> instancesChanged;
     };
 
-    ConfigurationSync(SelectionBase base, ConfigurationController &configuration, MembershipController &membership, Hooks hooks, std::uint64_t seed);
+    ConfigurationSync(
+        SelectionBase base, ConfigurationController &configuration, MembershipController &membership, Hooks hooks, std::uint64_t seed);
 
     //! Begins reading the platform.
     void start();
@@ -73,11 +77,13 @@
         Manifest,
         Instances,
     };
-    struct Watch {
+    struct Watch
+    {
         bool running = false;
         int failures = 0;
     };
-    struct PeerFetch {
+    struct PeerFetch
+    {
         bool running = false;
         TimePoint since;
     };
--- a/src/chervilpaddle/controllers/ejection.h
+++ b/src/chervilpaddle/controllers/ejection.h
@@ -22,7 +22,8 @@
     std::vector<InstanceId> leftOut(const std::vector<InstanceId> &service, TimePoint now) const;
 
 private:
-    struct Health {
+    struct Health
+    {
         int failuresInRow = 0;
         int ejections = 0;
         TimePoint ejectedUntil;
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/random.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chervilpaddle {
@@ -348,7 +349,7 @@
     window.shortestWait = rate > 0 ? fromSeconds(static_cast<double>(m_shortestQueue) / rate) : Duration::zero();
     window.waitTarget = m_serviceTimes.mean() / standingQueueDivisor;
     // A late tick covers more than one window; the controller is told of windows of equal length.
-    window.completions = static_cast<int>(m_windowCompletions * (toSeconds(priceWindow) / toSeconds(length)) + 0.5);
+    window.completions = static_cast<int>(std::lround(m_windowCompletions * (toSeconds(priceWindow) / toSeconds(length))));
     window.slotsWereIdle = occupancy < idleOccupancy;
     if (m_options.policy.price) {
         m_priceController.endWindow(window);
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -19,13 +19,15 @@
 using RunId = StrongNumber<struct RunIdTag>;
 
 //! How the backend server ended a run.
-struct BackendResult {
+struct BackendResult
+{
     ResultCode code = ResultCode::Done;
     Payload payload;
 };
 
 //! One call at the backend server.
-struct Run {
+struct Run
+{
     RunId id;
     CallMessage call;
     //! What the run's own outbound calls may spend; shared with them.
@@ -35,7 +37,8 @@
 };
 
 //! Counters of an executor since its start.
-struct ExecutorCounters {
+struct ExecutorCounters
+{
     std::uint64_t arrivals = 0;
     std::uint64_t started = 0;
     std::uint64_t finished = 0;
@@ -50,14 +53,16 @@
 class Executor
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         //! Runs a call at the backend server; `finished` must be called exactly once for it, later or at once.
         std::function<void(const Run &)> start;
         //! Asks for an end to a run and to its outbound calls; `finished` is still called.
         std::function<void(RunId)> cancelRun;
     };
-    struct Options {
+    struct Options
+    {
         InstanceId instance;
         Incarnation incarnation;
         int slots = 1;
@@ -103,19 +108,22 @@
     const TicketRegistry &tickets() const;
 
 private:
-    struct Waiting {
+    struct Waiting
+    {
         CallMessage call;
         std::vector<Reply> replies;
         bool joined = false;
     };
-    struct Active {
+    struct Active
+    {
         Run run;
         std::vector<Reply> replies;
         bool joined = false;
         bool answered = false;
         bool cancelled = false;
     };
-    struct ChildPrice {
+    struct ChildPrice
+    {
         Rank price = 0;
         TimePoint updated;
     };
--- a/src/chervilpaddle/controllers/instancelist.h
+++ b/src/chervilpaddle/controllers/instancelist.h
@@ -10,7 +10,8 @@
 namespace chervilpaddle {
 
 //! An IP address and a port.
-struct Endpoint {
+struct Endpoint
+{
     std::string host;
     std::uint16_t port = 0;
 
@@ -25,7 +26,8 @@
 std::string toText(const Endpoint &endpoint);
 
 //! One entry of the platform's list.
-struct PublishedInstance {
+struct PublishedInstance
+{
     InstanceId instance;
     ServiceName service;
     DataCentreName dataCentre;
@@ -36,7 +38,8 @@
 };
 
 //! The platform's list of live and leaving instances. It lags.
-struct InstanceList {
+struct InstanceList
+{
     Revision revision;
     std::vector<PublishedInstance> instances;
     //! The text it was parsed from, kept so that peers can be served.
--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -58,7 +58,8 @@
 const Candidate *InstancePicker::pickFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now)
 {
     std::vector<const Candidate *> payable;
-    std::copy_if(pool.begin(), pool.end(), std::back_inserter(payable), [&](const auto *candidate) { return canPay(*candidate, question, now); });
+    std::copy_if(
+        pool.begin(), pool.end(), std::back_inserter(payable), [&](const auto *candidate) { return canPay(*candidate, question, now); });
     if (payable.empty()) {
         return nullptr;
     }
--- a/src/chervilpaddle/controllers/instancepicker.h
+++ b/src/chervilpaddle/controllers/instancepicker.h
@@ -11,7 +11,8 @@
 namespace chervilpaddle {
 
 //! An instance to which a link is open.
-struct Candidate {
+struct Candidate
+{
     InstanceId instance;
     Incarnation incarnation;
     DataCentreName dataCentre;
@@ -28,11 +29,13 @@
         NoInstance,
         Price,
     };
-    struct Choice {
+    struct Choice
+    {
         const Candidate *candidate = nullptr;
         Refusal refusal = Refusal::None;
     };
-    struct Question {
+    struct Question
+    {
         OperationName operation;
         Rank rank = 0;
         const std::set<InstanceId> *excluded = nullptr;
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -391,7 +391,8 @@
 
 std::size_t LinkController::linkCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.current.has_value(); }));
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.current.has_value(); }));
 }
 
 std::optional<TimePoint> LinkController::lastHeardFrom(const std::vector<InstanceId> &instances) const
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -17,7 +17,8 @@
 using ConnectionId = StrongNumber<struct ConnectionIdTag>;
 
 //! A message from a peer that has introduced itself.
-struct PeerEvent {
+struct PeerEvent
+{
     ConnectionId connection;
     InstanceId instance;
     PeerMessage message;
@@ -30,7 +31,8 @@
 class LinkController
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         std::function<ConnectionId(const Endpoint &)> dial;
         std::function<void(ConnectionId, const PeerMessage &)> send;
@@ -83,7 +85,8 @@
     std::optional<TimePoint> lastHeardFrom(const std::vector<InstanceId> &instances) const;
 
 private:
-    struct Connection {
+    struct Connection
+    {
         bool inbound = false;
         bool open = false;
         InstanceId instance;
@@ -96,7 +99,8 @@
         TimePoint lastSent;
         LinkClock clock;
     };
-    struct Peer {
+    struct Peer
+    {
         PublishedInstance published;
         bool wanted = true;
         std::optional<ConnectionId> current;
--- a/src/chervilpaddle/controllers/peerselection.h
+++ b/src/chervilpaddle/controllers/peerselection.h
@@ -14,7 +14,8 @@
 constexpr std::size_t farLinksPerService = 4;
 
 //! Who is asking for peers.
-struct SelectionBase {
+struct SelectionBase
+{
     InstanceId instance;
     DataCentreName dataCentre;
     ServiceName service;
--- a/src/chervilpaddle/controllers/policyswitches.h
+++ b/src/chervilpaddle/controllers/policyswitches.h
@@ -3,7 +3,8 @@
 namespace chervilpaddle {
 
 //! Turns single mechanisms off, for measurements and tests only; operators have no access to it.
-struct PolicySwitches {
+struct PolicySwitches
+{
     bool worthOrder = true;
     bool price = true;
     bool allowance = true;
--- a/src/chervilpaddle/controllers/pricecontroller.h
+++ b/src/chervilpaddle/controllers/pricecontroller.h
@@ -7,7 +7,8 @@
 namespace chervilpaddle {
 
 //! What one window of an executor's life looked like.
-struct LoadWindow {
+struct LoadWindow
+{
     //! The shortest wait that any started call had in the queue (as in CoDel), or how long the head has waited.
     Duration shortestWait{};
     //! The wait that is taken for a standing queue.
--- a/src/chervilpaddle/controllers/pricetable.h
+++ b/src/chervilpaddle/controllers/pricetable.h
@@ -16,7 +16,8 @@
     void forget(const InstanceId &instance);
 
 private:
-    struct Known {
+    struct Known
+    {
         Rank price = 0;
         TimePoint updated;
     };
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -17,7 +17,8 @@
 using CallId = StrongNumber<struct CallIdTag>;
 
 //! A call to be sent to an executor of its operation's service.
-struct OutboundCall {
+struct OutboundCall
+{
     CallContext context;
     TimePoint deadline;
     Payload payload;
@@ -30,7 +31,8 @@
 };
 
 //! How a call ended for its caller.
-struct CallResult {
+struct CallResult
+{
     ResultCode code = ResultCode::Done;
     Payload payload;
     int attempts = 0;
@@ -39,7 +41,8 @@
 };
 
 //! Counters of a router since its start.
-struct RouterCounters {
+struct RouterCounters
+{
     std::uint64_t calls = 0;
     std::uint64_t attempts = 0;
     std::uint64_t repeats = 0;
@@ -53,7 +56,8 @@
 class Router
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         Scheduler schedule;
         //! The instances of a service to which a link is open.
@@ -61,7 +65,8 @@
         //! Sends a message; false where no link is open, in which case nothing was sent. Never answers before it returns.
         std::function<bool(const InstanceId &, const PeerMessage &)> send;
     };
-    struct Options {
+    struct Options
+    {
         DataCentreName dataCentre;
         Incarnation incarnation;
         PolicySwitches policy;
@@ -95,7 +100,8 @@
     const RouterCounters &counters() const;
 
 private:
-    struct Pending {
+    struct Pending
+    {
         OutboundCall call;
         Completion completion;
         std::set<InstanceId> tried;
--- a/src/chervilpaddle/controllers/servicetimes.h
+++ b/src/chervilpaddle/controllers/servicetimes.h
@@ -22,7 +22,8 @@
     Duration mean() const;
 
 private:
-    struct Estimate {
+    struct Estimate
+    {
         double mean = 0;
         double deviation = 0;
         TimePoint updated;
--- a/src/chervilpaddle/controllers/ticketregistry.h
+++ b/src/chervilpaddle/controllers/ticketregistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/peer/messages.h>
 
 #include <deque>
@@ -32,10 +33,11 @@
         Full, //!< No room for another minter.
     };
 
-    struct Limits {
+    struct Limits
+    {
         std::size_t mostRecords = 65536;
         std::size_t mostMinters = 4096;
-        std::size_t mostAnswerBytes = 32UL * 1024 * 1024;
+        std::size_t mostAnswerBytes = 32 * mebibyte;
     };
 
     TicketRegistry();
@@ -63,7 +65,8 @@
     std::size_t answerBytes() const;
 
 private:
-    struct Record {
+    struct Record
+    {
         State state = State::Queued;
         std::uint64_t requestDigest = 0;
         std::shared_ptr<const AnswerMessage> answer;
--- a/src/chervilpaddle/filters/entryfilters.h
+++ b/src/chervilpaddle/filters/entryfilters.h
@@ -8,7 +8,8 @@
 class RateTable;
 
 //! What the entry filters read; every hook must be safe from several threads and never block.
-struct EntrySources {
+struct EntrySources
+{
     Clock clock;
     std::function<bool()> draining;
     std::function<std::shared_ptr<const ContractBundle>()> bundle;
--- a/src/chervilpaddle/filters/entryrequest.h
+++ b/src/chervilpaddle/filters/entryrequest.h
@@ -9,7 +9,8 @@
 namespace chervilpaddle {
 
 //! A request of an outside caller, and what the filters make of it.
-struct EntryRequest {
+struct EntryRequest
+{
     CustomerName customer;
     OperationName operation;
     RequestId request;
--- a/src/chervilpaddle/filters/filterchain.h
+++ b/src/chervilpaddle/filters/filterchain.h
@@ -16,7 +16,8 @@
 class FilterChain
 {
 public:
-    struct Refusal {
+    struct Refusal
+    {
         ResultCode code;
         std::string filter;
     };
@@ -27,7 +28,8 @@
     std::vector<std::string> names() const;
 
 private:
-    struct Link {
+    struct Link
+    {
         std::string name;
         Filter filter;
     };
--- a/src/chervilpaddle/node/backendadapter.cpp
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/node/backendadapter.h>
 
 #include <algorithm>
@@ -10,7 +11,7 @@
 
 constexpr Duration healthTimeout = std::chrono::seconds(1);
 constexpr Duration cancelSlack = std::chrono::seconds(1);
-constexpr std::size_t largestHealthBody = 64 * 1024;
+constexpr std::size_t largestHealthBody = 64 * kibibyte;
 constexpr int firstErrorStatus = 500;
 constexpr int serviceUnavailable = 503;
 
@@ -43,7 +44,8 @@
     backend.code = codeOf(result);
     if (outcomeOf(backend.code) == Outcome::Done) {
         const std::string *type = result.response.headers.find(headers::contentType);
-        backend.payload = {result.response.status, type != nullptr ? *type : std::string(), std::make_shared<const std::string>(result.response.body)};
+        backend.payload = {
+            result.response.status, type != nullptr ? *type : std::string(), std::make_shared<const std::string>(result.response.body)};
     }
     return backend;
 }
--- a/src/chervilpaddle/node/backendadapter.h
+++ b/src/chervilpaddle/node/backendadapter.h
@@ -12,7 +12,8 @@
 class BackendAdapter
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         std::function<void(RunId, const BackendResult &)> finished;
         //! The backend server says that it is leaving.
--- a/src/chervilpaddle/node/callersfrontend.cpp
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -29,7 +29,8 @@
     : m_coreContext(coreContext)
     , m_core(core)
     , m_log(log)
-    , m_chain(entryFilterChain({core.clock(), [&core] { return core.isDraining(); }, [&core] { return core.bundle(); }, [&core] { return core.rates(); }}))
+    , m_chain(entryFilterChain(
+          {core.clock(), [&core] { return core.isDraining(); }, [&core] { return core.bundle(); }, [&core] { return core.rates(); }}))
     , m_requestPrefix(std::to_string(core.incarnation().value()) + "-")
 {
 }
@@ -114,9 +115,7 @@
             exchange->respond(responseFor(result, request->request, fresh));
         });
     });
-    exchange->onDisconnect([this, entry] {
-        boost::asio::post(m_coreContext, [this, entry] { m_core.leave(*entry); });
-    });
+    exchange->onDisconnect([this, entry] { boost::asio::post(m_coreContext, [this, entry] { m_core.leave(*entry); }); });
 }
 
 EgressFrontend::EgressFrontend(boost::asio::io_context &coreContext, NodeCore &core)
@@ -136,9 +135,7 @@
     boost::asio::post(m_coreContext, [this, exchange, request, id, call] {
         *call = m_core.callFromBackend(request, [exchange, id](const CallResult &result) { exchange->respond(responseFor(result, id)); });
     });
-    exchange->onDisconnect([this, call] {
-        boost::asio::post(m_coreContext, [this, call] { m_core.cancelFromBackend(*call); });
-    });
+    exchange->onDisconnect([this, call] { boost::asio::post(m_coreContext, [this, call] { m_core.cancelFromBackend(*call); }); });
 }
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/callresponse.cpp
+++ b/src/chervilpaddle/node/callresponse.cpp
@@ -28,7 +28,8 @@
     }
     response.status = row.httpStatus;
     response.headers.set(headers::contentType, "application/json");
-    const nlohmann::json body = {{"code", static_cast<int>(result.code)}, {"name", row.name}, {"outcome", outcomeName(outcome)}, {"meaning", row.meaning}};
+    const nlohmann::json body = {
+        {"code", static_cast<int>(result.code)}, {"name", row.name}, {"outcome", outcomeName(outcome)}, {"meaning", row.meaning}};
     response.body = body.dump();
     return response;
 }
@@ -53,7 +54,8 @@
 
 OperationName operationOf(const HttpRequest &request)
 {
-    const bool plain = request.target.size() > 1 && request.target.find('/', 1) == std::string::npos && request.target.find('?') == std::string::npos;
+    const bool plain =
+        request.target.size() > 1 && request.target.find('/', 1) == std::string::npos && request.target.find('?') == std::string::npos;
     return OperationName(plain ? request.target.substr(1) : std::string());
 }
 
--- a/src/chervilpaddle/node/logging.h
+++ b/src/chervilpaddle/node/logging.h
@@ -17,7 +17,8 @@
 class EventLog
 {
 public:
-    struct Event {
+    struct Event
+    {
         std::string message;
         ResultCode code = ResultCode::Success;
         RequestId request;
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/node/node.h>
 
 #include <chervilpaddle/node/callersfrontend.h>
@@ -27,7 +28,7 @@
 //! were told to close it, or have let it rest for this long.
 constexpr auto callerRest = std::chrono::milliseconds(1000);
 constexpr Duration drainSlack = std::chrono::seconds(1);
-constexpr std::size_t largestOperatorBody = 64 * 1024;
+constexpr std::size_t largestOperatorBody = 64 * kibibyte;
 
 //! An event loop and the thread that runs it.
 class Loop
@@ -138,9 +139,11 @@
         if (request.target == "/healthz") {
             exchange->respond(textResponse(m_core.isDraining() ? 503 : 200, "text/plain", m_core.isDraining() ? "draining\n" : "ok\n"));
         } else if (request.target == "/state") {
-            asio::post(m_coreLoop.context(), [this, exchange] { exchange->respond(textResponse(200, "application/json", stateDump(m_core))); });
+            asio::post(m_coreLoop.context(),
+                       [this, exchange] { exchange->respond(textResponse(200, "application/json", stateDump(m_core))); });
         } else if (request.target == "/metrics") {
-            asio::post(m_coreLoop.context(), [this, exchange] { exchange->respond(textResponse(200, "text/plain; version=0.0.4", m_metrics.scrape(m_core))); });
+            asio::post(m_coreLoop.context(),
+                       [this, exchange] { exchange->respond(textResponse(200, "text/plain; version=0.0.4", m_metrics.scrape(m_core))); });
         } else if (request.target == "/drain" && request.method == "POST") {
             asio::post(m_coreLoop.context(), [this, exchange] {
                 m_core.drain("operator");
@@ -173,7 +176,8 @@
                     m_log.warn({"shutdown gives up work in flight",
                                 ResultCode::ExecutorGone,
                                 {},
-                                std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
+                                std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding())
+                                    + " calls"});
                 }
                 asio::post(m_mainContext, [this, drained, late] { pollCallers(drained, late); });
             });
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -55,8 +55,10 @@
 void NodeCore::makeControllers()
 {
     m_transport = std::make_unique<PeerTransport>(m_context, transportHooks());
-    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, {}}, executorHooks());
-    m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
+    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, {}},
+                                            executorHooks());
+    m_router =
+        std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true};
     m_links = std::make_unique<LinkController>(self, m_settings.service, linkHooks(), m_random());
     m_links->setSeeds(m_settings.seeds);
@@ -133,15 +135,21 @@
     hooks.clock = m_clock;
     hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
     hooks.read = [this](const std::string &key, ConfigurationSync::PlatformReply reply) { m_platform.read(key, std::move(reply)); };
-    hooks.watch = [this](const std::string &key, Revision after, ConfigurationSync::PlatformReply reply) { m_platform.watch(key, after, std::move(reply)); };
+    hooks.watch = [this](const std::string &key, Revision after, ConfigurationSync::PlatformReply reply) {
+        m_platform.watch(key, after, std::move(reply));
+    };
     hooks.reply = [this](ConnectionId connection, const PeerMessage &message) { m_links->reply(connection, message); };
     hooks.lastHeardFrom = [this](const std::vector<InstanceId> &readers) { return m_links->lastHeardFrom(readers); };
     hooks.configurationChanged = [this] {
-        m_log.info({"configuration is in force", ResultCode::Success, {}, "revision " + std::to_string(m_configuration.version().revision.value())});
+        m_log.info({"configuration is in force",
+                    ResultCode::Success,
+                    {},
+                    "revision " + std::to_string(m_configuration.version().revision.value())});
         membershipChanged();
     };
     hooks.instancesChanged = [this] {
-        m_log.info({"instance list is in force", ResultCode::Success, {}, "revision " + std::to_string(m_membership.version().revision.value())});
+        m_log.info(
+            {"instance list is in force", ResultCode::Success, {}, "revision " + std::to_string(m_membership.version().revision.value())});
         membershipChanged();
     };
     return hooks;
@@ -288,14 +296,17 @@
     const OperationName parentOperation = parent.operation;
     wantService(serviceOf(request.operation));
     auto id = std::make_shared<CallId>();
-    *id = m_router->call(std::move(call), [this, id, runId, parentOperation, operation = request.operation, request = parent.request, completion = std::move(completion)](const CallResult &result) {
-        if (const auto children = m_childCalls.find(runId); children != m_childCalls.end()) {
-            children->second.erase(*id);
-        }
-        m_executor->recordChildPrice(parentOperation, operation, m_router->price(operation));
-        logOutcome(result, request, operation);
-        completion(result);
-    });
+    *id = m_router->call(
+        std::move(call),
+        [this, id, runId, parentOperation, operation = request.operation, request = parent.request, completion = std::move(completion)](
+            const CallResult &result) {
+            if (const auto children = m_childCalls.find(runId); children != m_childCalls.end()) {
+                children->second.erase(*id);
+            }
+            m_executor->recordChildPrice(parentOperation, operation, m_router->price(operation));
+            logOutcome(result, request, operation);
+            completion(result);
+        });
     if (m_executor->findRun(runId) != nullptr) {
         m_childCalls[runId].insert(*id);
     }
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -21,7 +21,8 @@
 namespace chervilpaddle {
 
 //! A call that the backend server beside this node makes.
-struct EgressRequest {
+struct EgressRequest
+{
     std::string context;
     OperationName operation;
     Payload payload;
@@ -78,7 +79,8 @@
 
 private:
     //! Outside requests that wait for the same call.
-    struct EntryCall {
+    struct EntryCall
+    {
         CallId call;
         RequestId request;
         OperationName operation;
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -55,8 +55,12 @@
     void scrapeConfiguration(const NodeCore &core)
     {
         const SyncCounters &counters = core.sync().counters();
-        gauge("chervilpaddle_configuration_revision", "Revision in force", static_cast<double>(core.configuration().version().revision.value()));
-        gauge("chervilpaddle_instances_revision", "Revision of the instance list in force", static_cast<double>(core.membership().version().revision.value()));
+        gauge("chervilpaddle_configuration_revision",
+              "Revision in force",
+              static_cast<double>(core.configuration().version().revision.value()));
+        gauge("chervilpaddle_instances_revision",
+              "Revision of the instance list in force",
+              static_cast<double>(core.membership().version().revision.value()));
         counter("chervilpaddle_platform_reads_total", "Reads of the platform", counters.reads);
         counter("chervilpaddle_platform_watches_total", "Watches of the platform", counters.watches);
         counter("chervilpaddle_platform_failures_total", "Failed reads and watches", counters.failures);
--- a/src/chervilpaddle/node/nodesettings.cpp
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -41,7 +41,8 @@
     }
 
 private:
-    struct Key {
+    struct Key
+    {
         bool required = true;
         //! Takes the value, or says what was wanted.
         std::function<std::optional<std::string>(const std::string &)> take;
@@ -67,7 +68,8 @@
     static Key nameKey(std::function<void(const std::string &)> assign)
     {
         return {true, [assign = std::move(assign)](const std::string &value) -> std::optional<std::string> {
-                    const bool plain = std::all_of(value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
+                    const bool plain = std::all_of(
+                        value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
                     if (value.empty() || !plain) {
                         return "a name of letters, digits, '-' and '_'";
                     }
@@ -175,7 +177,10 @@
 
 } // namespace
 
-NodeSettings parseNodeSettings(const std::string &text, const std::string &file, const std::vector<SettingOverride> &overrides, std::vector<Problem> &problems)
+NodeSettings parseNodeSettings(const std::string &text,
+                               const std::string &file,
+                               const std::vector<SettingOverride> &overrides,
+                               std::vector<Problem> &problems)
 {
     return SettingsParser(file, problems).parse(text, overrides);
 }
--- a/src/chervilpaddle/node/nodesettings.h
+++ b/src/chervilpaddle/node/nodesettings.h
@@ -11,7 +11,8 @@
 namespace chervilpaddle {
 
 //! What a node is told at its start: who and where it is. Holds no tuning.
-struct NodeSettings {
+struct NodeSettings
+{
     InstanceId instance;
     ServiceName service;
     DataCentreName dataCentre;
@@ -32,12 +33,16 @@
 };
 
 //! A value given on the command line in place of the file's: "section.key" and the value.
-struct SettingOverride {
+struct SettingOverride
+{
     std::string key;
     std::string value;
 };
 
 //! Parses and checks a settings text. Appends what is wrong to `problems`.
-NodeSettings parseNodeSettings(const std::string &text, const std::string &file, const std::vector<SettingOverride> &overrides, std::vector<Problem> &problems);
+NodeSettings parseNodeSettings(const std::string &text,
+                               const std::string &file,
+                               const std::vector<SettingOverride> &overrides,
+                               std::vector<Problem> &problems);
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/platformadapter.cpp
+++ b/src/chervilpaddle/node/platformadapter.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/node/platformadapter.h>
 
 namespace chervilpaddle {
@@ -7,7 +8,7 @@
 constexpr Duration readTimeout = std::chrono::seconds(1);
 constexpr int watchSeconds = 30;
 constexpr Duration watchTimeout = std::chrono::seconds(watchSeconds + 2);
-constexpr std::size_t largestValue = 1024 * 1024 + 64 * 1024;
+constexpr std::size_t largestValue = mebibyte + 64 * kibibyte;
 constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
 
--- a/src/chervilpaddle/node/statedump.cpp
+++ b/src/chervilpaddle/node/statedump.cpp
@@ -13,7 +13,9 @@
 json configurationState(const NodeCore &core)
 {
     const DocumentVersion version = core.configuration().version();
-    json state = {{"revision", version.revision.value()}, {"digest", version.digest}, {"refusedRevision", core.configuration().refusedRevision().value()}};
+    json state = {{"revision", version.revision.value()},
+                  {"digest", version.digest},
+                  {"refusedRevision", core.configuration().refusedRevision().value()}};
     state["refusalReasons"] = json::array();
     for (const Problem &problem : core.configuration().refusalReasons()) {
         state["refusalReasons"].push_back(toText(problem));
@@ -53,7 +55,10 @@
             {"expired", counters.expired},
             {"duplicates", counters.duplicates},
             {"refusedLeaving", counters.refusedLeaving},
-            {"tickets", {{"records", executor.tickets().size()}, {"minters", executor.tickets().minterCount()}, {"answerBytes", executor.tickets().answerBytes()}}}};
+            {"tickets",
+             {{"records", executor.tickets().size()},
+              {"minters", executor.tickets().minterCount()},
+              {"answerBytes", executor.tickets().answerBytes()}}}};
 }
 
 json routerState(const NodeCore &core)
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -120,7 +120,8 @@
 
 std::int64_t integerOf(const json &value)
 {
-    if (!value.is_number_integer() || (value.is_number_unsigned() && value.get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max())) {
+    if (!value.is_number_integer()
+        || (value.is_number_unsigned() && value.get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max())) {
         throw FrameError(ResultCode::FrameMalformed);
     }
     return value.get<std::int64_t>();
@@ -457,8 +458,8 @@
 
 std::string formatTicket(const Ticket &ticket)
 {
-    return ticket.executor.value() + "/" + toHexadecimal(ticket.executorIncarnation.value()) + "/" + toHexadecimal(ticket.id.minter.value()) + "/"
-        + std::to_string(ticket.id.sequence);
+    return ticket.executor.value() + "/" + toHexadecimal(ticket.executorIncarnation.value()) + "/" + toHexadecimal(ticket.id.minter.value())
+        + "/" + std::to_string(ticket.id.sequence);
 }
 
 std::optional<Ticket> parseTicket(const std::string &text)
--- a/src/chervilpaddle/peer/codec.h
+++ b/src/chervilpaddle/peer/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/peer/messages.h>
 
 #include <optional>
@@ -9,10 +10,11 @@
 namespace chervilpaddle {
 
 //! The largest frame between nodes: a whole body and its envelope.
-constexpr std::size_t largestFrameBytes = largestBodyBytes + 256 * 1024;
+constexpr std::size_t largestFrameBytes = largestBodyBytes + 256 * kibibyte;
 
 //! A message and when its sender sent it, by the sender's own monotonic clock.
-struct PeerFrame {
+struct PeerFrame
+{
     PeerMessage message;
     TimePoint sentAt;
 };
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
+#include <chervilpaddle/base/units.h>
 
 #include <map>
 #include <memory>
@@ -13,7 +14,7 @@
 namespace chervilpaddle {
 
 //! The largest body of a request or an answer that passes.
-constexpr std::size_t largestBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t largestBodyBytes = 8 * mebibyte;
 //! The peer protocol's version; another major version is refused, an unknown field is ignored.
 constexpr int peerProtocolMajor = 1;
 
@@ -21,7 +22,8 @@
 using Body = std::shared_ptr<const std::string>;
 
 //! Names one call for ever: minters never use a sequence number twice.
-struct TicketId {
+struct TicketId
+{
     Incarnation minter;
     std::uint64_t sequence = 0;
 
@@ -36,7 +38,8 @@
 };
 
 //! Binds one call to one incarnation of one executor, so that it can run nowhere else.
-struct Ticket {
+struct Ticket
+{
     TicketId id;
     InstanceId executor;
     Incarnation executorIncarnation;
@@ -47,7 +50,8 @@
 using Rank = double;
 
 //! What every call of a request's tree inherits.
-struct CallContext {
+struct CallContext
+{
     RequestId request;
     CustomerName customer;
     OperationName operation;
@@ -58,13 +62,15 @@
     bool idempotent = false;
 };
 
-struct Payload {
+struct Payload
+{
     int status = 0;
     std::string contentType;
     Body body;
 };
 
-struct CallMessage {
+struct CallMessage
+{
     Ticket ticket;
     CallContext context;
     //! Time left when the frame was sent.
@@ -74,7 +80,8 @@
     Payload payload;
 };
 
-struct AnswerMessage {
+struct AnswerMessage
+{
     TicketId ticket;
     ResultCode code = ResultCode::Done;
     //! The unspent part of what was lent.
@@ -84,16 +91,19 @@
     Payload payload;
 };
 
-struct CancelMessage {
+struct CancelMessage
+{
     TicketId ticket;
 };
 
-struct VoidMessage {
+struct VoidMessage
+{
     Ticket ticket;
 };
 
 //! The first frame on a connection, both ways.
-struct HelloMessage {
+struct HelloMessage
+{
     int major = peerProtocolMajor;
     InstanceId instance;
     Incarnation incarnation;
@@ -103,7 +113,8 @@
 };
 
 //! A document that spreads from node to node: which version the sender holds.
-struct DocumentVersion {
+struct DocumentVersion
+{
     Revision revision;
     std::string digest;
 
@@ -114,7 +125,8 @@
 };
 
 //! Heartbeat, and news of the sender's state.
-struct StatusMessage {
+struct StatusMessage
+{
     bool draining = false;
     //! The sender knows that the receiver is draining: no new call follows on this connection.
     bool drainSeen = false;
@@ -124,21 +136,25 @@
 };
 
 //! Asks for a newer configuration; names the contracts already held, so that only changed ones are sent.
-struct ConfigurationRequest {
+struct ConfigurationRequest
+{
     Revision heldRevision;
     std::map<CustomerName, std::string> heldDigests;
 };
 
-struct ConfigurationMessage {
+struct ConfigurationMessage
+{
     std::string manifest;
     std::map<CustomerName, std::string> texts;
 };
 
-struct InstancesRequest {
+struct InstancesRequest
+{
     Revision heldRevision;
 };
 
-struct InstancesMessage {
+struct InstancesMessage
+{
     std::string document;
 };
 
@@ -157,7 +173,8 @@
 
 namespace std {
 template<>
-struct hash<chervilpaddle::TicketId> {
+struct hash<chervilpaddle::TicketId>
+{
     size_t operator()(const chervilpaddle::TicketId &id) const noexcept
     {
         constexpr size_t oddMultiplier = 0x9E3779B97F4A7C15ULL;
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/transport/httpclient.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +19,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr std::uint32_t largestHeader = 16 * 1024;
+constexpr std::uint32_t largestHeader = 16 * kibibyte;
 constexpr std::size_t mostIdle = 128;
 
 class Connection : public std::enable_shared_from_this<Connection>
@@ -35,7 +36,8 @@
     bool isUsable()
     {
         char byte = 0;
-        const bool quiet = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        const bool quiet =
+            ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
         return m_stream.socket().is_open() && quiet && m_buffer.size() == 0;
     }
 
@@ -187,7 +189,8 @@
     HttpRequestNumber send(HttpRequest request, Duration timeout, Callback callback)
     {
         const HttpRequestNumber number(++m_lastNumber);
-        auto ended = [self = shared_from_this(), number, callback = std::move(callback)](const std::shared_ptr<Connection> &reusable, const HttpResult &result) {
+        auto ended = [self = shared_from_this(), number, callback = std::move(callback)](const std::shared_ptr<Connection> &reusable,
+                                                                                         const HttpResult &result) {
             self->m_active.erase(number);
             if (reusable && self->m_idle.size() < mostIdle) {
                 self->m_idle.push_back(reusable);
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -20,7 +20,8 @@
     Whole, //!< The answer is here, whole.
 };
 
-struct HttpResult {
+struct HttpResult
+{
     HttpStage stage = HttpStage::NotSent;
     HttpResponse response;
     bool timedOut = false;
@@ -34,7 +35,8 @@
 class HttpClient
 {
 public:
-    struct Options {
+    struct Options
+    {
         Endpoint address;
         std::size_t largestBody = 0;
         Duration connectTimeout = std::chrono::seconds(1);
--- a/src/chervilpaddle/transport/httpmessage.cpp
+++ b/src/chervilpaddle/transport/httpmessage.cpp
@@ -12,7 +12,8 @@
 
 const std::string *HttpHeaders::find(const std::string &name) const
 {
-    const auto field = std::find_if(m_fields.begin(), m_fields.end(), [&](const auto &f) { return boost::algorithm::iequals(f.first, name); });
+    const auto field =
+        std::find_if(m_fields.begin(), m_fields.end(), [&](const auto &f) { return boost::algorithm::iequals(f.first, name); });
     return field == m_fields.end() ? nullptr : &field->second;
 }
 
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -20,14 +20,16 @@
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method = "GET";
     std::string target = "/";
     HttpHeaders headers;
     std::string body;
 };
 
-struct HttpResponse {
+struct HttpResponse
+{
     int status = 200;
     HttpHeaders headers;
     std::string body;
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/transport/httpserver.h>
 
 #include <atomic>
@@ -6,8 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <chervilpaddle/base/resultcode.h>
 #include <cerrno>
+#include <chervilpaddle/base/resultcode.h>
 #include <chrono>
 #include <optional>
 #include <sys/socket.h>
@@ -21,13 +22,14 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr std::uint32_t largestHeader = 16 * 1024;
+constexpr std::uint32_t largestHeader = 16 * kibibyte;
 constexpr auto arrivalTimeout = std::chrono::seconds(10);
 constexpr auto idleTimeout = std::chrono::seconds(75);
 constexpr auto writeTimeout = std::chrono::seconds(30);
 
 //! Shared by all connections of a server.
-struct ServerState {
+struct ServerState
+{
     HttpServer::Options options;
     HttpServer::Handler handler;
     std::atomic<std::size_t> connections{0};
@@ -168,8 +170,8 @@
     {
         if (error == http::error::body_limit) {
             refuse(ResultCode::BodyTooLarge);
-        } else if (error == http::error::end_of_stream || error == beast::error::timeout || error.category() == asio::error::get_system_category()
-                   || error.category() == asio::error::get_misc_category()) {
+        } else if (error == http::error::end_of_stream || error == beast::error::timeout
+                   || error.category() == asio::error::get_system_category() || error.category() == asio::error::get_misc_category()) {
             close();
         } else {
             refuse(ResultCode::Malformed);
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/controllers/instancelist.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
@@ -32,11 +33,12 @@
 class HttpServer
 {
 public:
-    struct Options {
+    struct Options
+    {
         Endpoint address;
         std::size_t largestBody = 0;
         std::size_t mostConnections = 1024;
-        std::size_t mostBodyBytes = 256UL * 1024 * 1024;
+        std::size_t mostBodyBytes = 256 * mebibyte;
     };
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -17,9 +17,13 @@
 //! A peer that takes in nothing may hold back this much before its connection is closed.
 constexpr std::size_t largestBacklog = 4 * largestFrameBytes;
 
+// The names below are those that websocketpp looks for.
+// NOLINTBEGIN(readability-identifier-naming)
+
 //! One thread runs an endpoint, so it needs no locks.
 template<typename Base>
-struct SingleThreaded : public Base {
+struct SingleThreaded : public Base
+{
     using type = SingleThreaded;
     using concurrency_type = websocketpp::concurrency::none;
     using request_type = typename Base::request_type;
@@ -31,7 +35,8 @@
     using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
     using rng_type = websocketpp::random::random_device::int_generator<std::uint32_t, concurrency_type>;
 
-    struct transport_config : public Base::transport_config {
+    struct transport_config : public Base::transport_config
+    {
         using concurrency_type = typename SingleThreaded::concurrency_type;
         using alog_type = typename SingleThreaded::alog_type;
         using elog_type = typename SingleThreaded::elog_type;
@@ -46,6 +51,7 @@
     static const long timeout_open_handshake = 5000;
     static const long timeout_close_handshake = 500;
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Server = websocketpp::server<SingleThreaded<websocketpp::config::core>>;
 using Client = websocketpp::client<SingleThreaded<websocketpp::config::core_client>>;
@@ -152,7 +158,8 @@
     template<typename ConnectionType>
     void attach(ConnectionType &connection, ConnectionId id)
     {
-        connection.set_message_handler([this, id](const connection_hdl & /*handle*/, const auto &message) { received(id, message->get_payload()); });
+        connection.set_message_handler(
+            [this, id](const connection_hdl & /*handle*/, const auto &message) { received(id, message->get_payload()); });
         connection.set_close_handler([this, id](const connection_hdl & /*handle*/) { forget(id); });
     }
 
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -13,7 +13,8 @@
 class PeerTransport
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         Clock clock;
         std::function<void(ConnectionId, bool inbound)> opened;
         std::function<void(ConnectionId, const PeerFrame &)> received;
--- a/standins/judge.h
+++ b/standins/judge.h
@@ -6,7 +6,8 @@
 namespace chervilpaddle::standins {
 
 //! Compares what callers were told with what the backend servers started.
-struct JudgeArguments {
+struct JudgeArguments
+{
     //! Records of backend servers, as their /record gives them.
     std::vector<std::string> records;
     //! How each request ended, as `chervilpaddle load --requests` writes it.
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -5,8 +5,8 @@
 
 #include <chervilpaddle/base/inidocument.h>
 
-#include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
 
@@ -38,7 +38,8 @@
     return 1;
 }
 
-struct PlatformArguments {
+struct PlatformArguments
+{
     std::string listen;
     std::string contracts;
     std::string instances;
@@ -60,7 +61,8 @@
     return runUntilSignal(context);
 }
 
-struct BackendArguments {
+struct BackendArguments
+{
     std::string listen;
     std::string egress;
     std::string behaviour;
@@ -90,7 +92,8 @@
     return runUntilSignal(context);
 }
 
-struct RelayArguments {
+struct RelayArguments
+{
     std::string listen;
     std::string target;
     std::string control;
--- a/standins/standinbackend.cpp
+++ b/standins/standinbackend.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 //! One request at the backend server.
-struct StandinBackend::Work {
+struct StandinBackend::Work
+{
     std::shared_ptr<HttpExchange> exchange;
     OperationName operation;
     std::string request;
@@ -142,7 +143,8 @@
     ++m_running;
     m_mostRunning = std::max(m_mostRunning, m_running);
     const double jitter = 1 + jitterShare * (2 * uniformFraction(m_random) - 1);
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, fromSeconds(toSeconds(behaviour->second.serviceTime) * m_slowdown * jitter));
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(m_context, fromSeconds(toSeconds(behaviour->second.serviceTime) * m_slowdown * jitter));
     timer->async_wait([this, timer, work](const boost::system::error_code & /*error*/) { callNext(work); });
 }
 
@@ -224,8 +226,11 @@
 
 std::string StandinBackend::record() const
 {
-    const nlohmann::json all = {
-        {"totals", m_startedTotals}, {"started", m_started}, {"mostRunning", m_mostRunning}, {"running", m_running}, {"answered", m_answered}};
+    const nlohmann::json all = {{"totals", m_startedTotals},
+                                {"started", m_started},
+                                {"mostRunning", m_mostRunning},
+                                {"running", m_running},
+                                {"answered", m_answered}};
     return all.dump();
 }
 
--- a/standins/standinbackend.h
+++ b/standins/standinbackend.h
@@ -16,20 +16,23 @@
 namespace chervilpaddle::standins {
 
 //! What an operation of a stand-in backend server does: work for a time, then make its calls one after the other.
-struct OperationBehaviour {
+struct OperationBehaviour
+{
     Duration serviceTime{};
     std::vector<OperationName> calls;
 };
 
 //! The behaviour of a whole service, from an INI text: one section an operation, keys `service_time` and `calls`.
-std::map<OperationName, OperationBehaviour> parseBehaviour(const std::string &text, const std::string &file, std::vector<Problem> &problems);
+std::map<OperationName, OperationBehaviour>
+parseBehaviour(const std::string &text, const std::string &file, std::vector<Problem> &problems);
 
 //! A small stand-in for a backend server. Keeps a record of every run that it started, and can be told to be slow,
 //! to fail, to refuse, to cut answers short, to leave, or to lie about its health. One thread.
 class StandinBackend
 {
 public:
-    struct Options {
+    struct Options
+    {
         Endpoint address;
         Endpoint egress;
         int slots = 1;
--- a/standins/standinplatform.cpp
+++ b/standins/standinplatform.cpp
@@ -1,6 +1,7 @@
 #include "standinplatform.h"
 
 #include <chervilpaddle/base/inidocument.h>
+#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/contract/manifestdocument.h>
 
 #include <cstdlib>
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t largestControlBody = 4 * 1024 * 1024;
+constexpr std::size_t largestControlBody = 4 * mebibyte;
 const std::string valuePrefix = "/v1/values/";
 const std::string watchPrefix = "/v1/watch/";
 const std::string controlPrefix = "/control/";
--- a/standins/standinplatform.h
+++ b/standins/standinplatform.h
@@ -30,11 +30,13 @@
         Down, //!< Nothing is answered well.
         Stale, //!< Answers as of the moment when the fault began; watches hear nothing.
     };
-    struct Document {
+    struct Document
+    {
         std::uint64_t revision = 0;
         std::string text;
     };
-    struct Watcher {
+    struct Watcher
+    {
         std::string key;
         std::uint64_t after = 0;
         std::shared_ptr<HttpExchange> exchange;
--- a/standins/standinrelay.cpp
+++ b/standins/standinrelay.cpp
@@ -1,6 +1,7 @@
 #include "standinrelay.h"
 
 #include <chervilpaddle/base/inidocument.h>
+#include <chervilpaddle/base/units.h>
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -11,7 +12,7 @@
 namespace {
 namespace asio = boost::asio;
 using asio::ip::tcp;
-constexpr std::size_t pieceBytes = 64 * 1024;
+constexpr std::size_t pieceBytes = 64 * kibibyte;
 
 tcp::endpoint tcpEndpoint(const Endpoint &endpoint)
 {
@@ -63,15 +64,17 @@
 
     void pass(tcp::socket &from, tcp::socket &to, Buffer &buffer, bool isAnswer)
     {
-        from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code &error, std::size_t bytes) {
-            if (error) {
-                if (!self->m_silent) {
-                    self->cut();
+        from.async_read_some(
+            asio::buffer(buffer),
+            [self = shared_from_this(), &from, &to, &buffer, isAnswer](const boost::system::error_code &error, std::size_t bytes) {
+                if (error) {
+                    if (!self->m_silent) {
+                        self->cut();
+                    }
+                    return;
                 }
-                return;
-            }
-            self->forward(from, to, buffer, bytes, isAnswer);
-        });
+                self->forward(from, to, buffer, bytes, isAnswer);
+            });
     }
 
     void forward(tcp::socket &from, tcp::socket &to, Buffer &buffer, std::size_t bytes, bool isAnswer)
@@ -86,13 +89,16 @@
             bytes = std::min(bytes, static_cast<std::size_t>(m_answerBytes));
             m_answerBytes -= static_cast<long>(bytes);
         }
-        asio::async_write(to, asio::buffer(buffer, bytes), [self = shared_from_this(), &from, &to, &buffer, isAnswer, last](const boost::system::error_code &error, std::size_t /*bytes*/) {
-            if (error || last) {
-                self->cut();
-                return;
-            }
-            self->pass(from, to, buffer, isAnswer);
-        });
+        asio::async_write(to,
+                          asio::buffer(buffer, bytes),
+                          [self = shared_from_this(), &from, &to, &buffer, isAnswer, last](const boost::system::error_code &error,
+                                                                                           std::size_t /*bytes*/) {
+                              if (error || last) {
+                                  self->cut();
+                                  return;
+                              }
+                              self->pass(from, to, buffer, isAnswer);
+                          });
     }
 
     tcp::socket m_near;
@@ -107,7 +113,7 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_acceptor(context)
-    , m_control({&context}, {m_options.control, 64 * 1024}, [this](auto exchange) { handleControl(exchange); })
+    , m_control({&context}, {m_options.control, 64 * kibibyte}, [this](auto exchange) { handleControl(exchange); })
 {
 }
 
--- a/standins/standinrelay.h
+++ b/standins/standinrelay.h
@@ -15,7 +15,8 @@
 class StandinRelay
 {
 public:
-    struct Options {
+    struct Options
+    {
         Endpoint address;
         Endpoint target;
         Endpoint control;
--- a/support/fakefleet.cpp
+++ b/support/fakefleet.cpp
@@ -235,7 +235,8 @@
     };
     hooks.configurationChanged = [this, number] { broadcast(number); };
     hooks.instancesChanged = [this, number] { broadcast(number); };
-    const SelectionBase base{node.instance, DataCentreName(dataCentreOf(number)), ServiceName("s" + std::to_string(number % serviceCount)), {}};
+    const SelectionBase base{
+        node.instance, DataCentreName(dataCentreOf(number)), ServiceName("s" + std::to_string(number % serviceCount)), {}};
     node.sync = std::make_unique<ConfigurationSync>(base, *node.configuration, *node.membership, std::move(hooks), m_random());
     node.sync->start();
     tick(number, alive);
@@ -285,7 +286,8 @@
     if (list->revision.value() == 0) {
         return peers;
     }
-    const SelectionBase base{m_nodes[node].instance, DataCentreName(dataCentreOf(node)), ServiceName("s" + std::to_string(node % serviceCount)), {}};
+    const SelectionBase base{
+        m_nodes[node].instance, DataCentreName(dataCentreOf(node)), ServiceName("s" + std::to_string(node % serviceCount)), {}};
     for (const PublishedInstance &peer : selectPeers(*list, base)) {
         peers.insert(std::stoul(peer.instance.value().substr(1)));
     }
--- a/support/fakefleet.h
+++ b/support/fakefleet.h
@@ -35,11 +35,13 @@
     std::uint64_t calls() const;
 
 private:
-    struct Document {
+    struct Document
+    {
         std::uint64_t revision = 0;
         std::string text;
     };
-    struct Watcher {
+    struct Watcher
+    {
         std::string dataCentre;
         std::string key;
         std::uint64_t after = 0;
@@ -87,7 +89,8 @@
     std::uint64_t bytes = 0;
 
 private:
-    struct Node {
+    struct Node
+    {
         InstanceId instance;
         std::unique_ptr<ConfigurationController> configuration;
         std::unique_ptr<MembershipController> membership;
--- a/support/fakeservice.cpp
+++ b/support/fakeservice.cpp
@@ -18,8 +18,10 @@
     , m_policy(policy)
     , m_random(seed)
 {
-    Executor::Hooks executorHooks{services.time().clock(), [this](const Run &run) { backendStart(run); }, [this](RunId run) { cancelRun(run); }};
-    m_executor = std::make_unique<Executor>(Executor::Options{m_self.instance, m_self.incarnation, slots, policy, {}}, std::move(executorHooks));
+    Executor::Hooks executorHooks{
+        services.time().clock(), [this](const Run &run) { backendStart(run); }, [this](RunId run) { cancelRun(run); }};
+    m_executor =
+        std::make_unique<Executor>(Executor::Options{m_self.instance, m_self.incarnation, slots, policy, {}}, std::move(executorHooks));
     Router::Hooks routerHooks;
     routerHooks.clock = services.time().clock();
     routerHooks.schedule = [this](Duration delay, std::function<void()> action) {
@@ -162,7 +164,8 @@
     BackendResult result;
     result.code = code;
     result.payload.status = 200;
-    result.payload.body = std::make_shared<const std::string>(job->run.call.context.request.value() + " " + job->run.call.context.operation.value());
+    result.payload.body =
+        std::make_shared<const std::string>(job->run.call.context.request.value() + " " + job->run.call.context.operation.value());
     m_executor->finished(job->run.id, result);
     while (m_working < m_backendSlots && !m_backlog.empty()) {
         const auto next = m_backlog.front();
@@ -206,7 +209,8 @@
     return m_operations.at(name);
 }
 
-FakeNode &FakeServices::addNode(const std::string &instance, const std::string &service, const std::string &dataCentre, int slots, const PolicySwitches &policy)
+FakeNode &FakeServices::addNode(
+    const std::string &instance, const std::string &service, const std::string &dataCentre, int slots, const PolicySwitches &policy)
 {
     m_recipes[instance] = {service, dataCentre, slots, policy};
     return replaceNode(instance);
--- a/support/fakeservice.h
+++ b/support/fakeservice.h
@@ -15,7 +15,8 @@
 class FakeServices;
 
 //! What an operation does at a fake backend server: work, then its calls one after the other.
-struct FakeOperation {
+struct FakeOperation
+{
     Duration serviceTime = std::chrono::milliseconds(10);
     std::vector<OperationName> calls;
     bool idempotent = true;
@@ -23,7 +24,8 @@
 };
 
 //! What becomes of one message on its way.
-struct Delivery {
+struct Delivery
+{
     //! When each copy arrives, from now; none: the message is lost.
     std::vector<Duration> copies;
 };
@@ -49,7 +51,8 @@
 
 private:
     friend class FakeServices;
-    struct Job {
+    struct Job
+    {
         Run run;
         std::size_t nextCall = 0;
         TimePoint since;
@@ -90,7 +93,8 @@
 
     void describe(const OperationName &name, const FakeOperation &operation);
     const FakeOperation &operation(const OperationName &name) const;
-    FakeNode &addNode(const std::string &instance, const std::string &service, const std::string &dataCentre, int slots, const PolicySwitches &policy);
+    FakeNode &addNode(
+        const std::string &instance, const std::string &service, const std::string &dataCentre, int slots, const PolicySwitches &policy);
     //! Replaces a node by a new process at the same place.
     FakeNode &replaceNode(const std::string &instance);
     FakeNode &node(const std::string &instance);
@@ -109,7 +113,8 @@
     std::map<std::string, double> slotSeconds;
 
 private:
-    struct Recipe {
+    struct Recipe
+    {
         std::string service;
         std::string dataCentre;
         int slots = 1;
--- a/support/virtualtime.h
+++ b/support/virtualtime.h
@@ -25,7 +25,8 @@
     void skip(Duration length);
 
 private:
-    struct Event {
+    struct Event
+    {
         TimePoint time;
         std::uint64_t number = 0;
         std::function<void()> action;
--- a/tests/base/resultcode.cpp
+++ b/tests/base/resultcode.cpp
@@ -40,7 +40,8 @@
 
 Test(base, a_cell_gives_whole_snapshots_to_readers_while_it_is_replaced)
 {
-    struct Pair {
+    struct Pair
+    {
         int first = 0;
         int second = 0;
     };
--- a/tests/contract/bundle.cpp
+++ b/tests/contract/bundle.cpp
@@ -1,15 +1,16 @@
 #include <chervilpaddle/contract/bundle.h>
 #include <chervilpaddle/contract/manifestdocument.h>
 
-#include <criterion/criterion.h>
 #include <algorithm>
+#include <criterion/criterion.h>
 
 using namespace chervilpaddle;
 
 namespace {
 
-const std::string goodContract = "[customer]\nname = a\n[operation x.run]\nworth = 10\ndeadline = 500ms\nidempotent = yes\nrepeats = 2\nrate = 10/s\ncalls = y.run\n"
-                                 "[operation y.run]\nworth = 10\ndeadline = 400ms\nidempotent = yes\nrepeats = 0\n";
+const std::string goodContract =
+    "[customer]\nname = a\n[operation x.run]\nworth = 10\ndeadline = 500ms\nidempotent = yes\nrepeats = 2\nrate = 10/s\ncalls = y.run\n"
+    "[operation y.run]\nworth = 10\ndeadline = 400ms\nidempotent = yes\nrepeats = 0\n";
 
 std::vector<Problem> problemsOf(const std::map<std::string, std::string> &contracts)
 {
@@ -33,7 +34,8 @@
     return text.replace(place, from.size(), to);
 }
 
-struct BadContract {
+struct BadContract
+{
     const char *from;
     const char *to;
     ResultCode code;
@@ -97,7 +99,8 @@
 
 Test(contract, contracts_that_disagree_on_idempotence_are_refused_together)
 {
-    const std::string other = "[customer]\nname = b\n[operation y.run]\nworth = 1\ndeadline = 1s\nidempotent = no\nrepeats = 0\nrate = 1/s\n";
+    const std::string other =
+        "[customer]\nname = b\n[operation y.run]\nworth = 1\ndeadline = 1s\nidempotent = no\nrepeats = 0\nrate = 1/s\n";
     const auto problems = problemsOf({{"a", goodContract}, {"b", other}});
     cr_assert_eq(problems.size(), 1);
     cr_assert_eq(problems.front().code, ResultCode::ContractDisagrees);
@@ -126,7 +129,8 @@
     const auto parsed = parseManifest(formatManifest(manifest));
     cr_assert(parsed.has_value());
     cr_assert_eq(manifestDigest(*parsed), manifestDigest(manifest));
-    for (const char *bad : {"", "{}", "[]", "{\"revision\":\"x\",\"contracts\":{},\"services\":[]}", "{\"revision\":1,\"contracts\":[1],\"services\":[]}"}) {
+    for (const char *bad :
+         {"", "{}", "[]", "{\"revision\":\"x\",\"contracts\":{},\"services\":[]}", "{\"revision\":1,\"contracts\":[1],\"services\":[]}"}) {
         cr_expect_not(parseManifest(bad).has_value(), "%s", bad);
     }
 }
--- a/tests/controllers/admission.cpp
+++ b/tests/controllers/admission.cpp
@@ -4,9 +4,9 @@
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/executor.h>
 
-#include <criterion/criterion.h>
 #include <algorithm>
 #include <cmath>
+#include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 using namespace chervilpaddle;
--- a/tests/controllers/allowance.cpp
+++ b/tests/controllers/allowance.cpp
@@ -31,7 +31,8 @@
 namespace {
 
 //! What one random tree of calls does under random faults.
-struct TreeTrial {
+struct TreeTrial
+{
     int depth = 1;
     int fanOut = 1;
     int grant = 0;
--- a/tests/controllers/configuration.cpp
+++ b/tests/controllers/configuration.cpp
@@ -22,7 +22,8 @@
 }
 
 //! A fleet that has just come up with revision 1.
-struct FleetBench {
+struct FleetBench
+{
     FleetBench(std::size_t nodes, std::size_t dataCentres)
         : platform(time)
         , fleet(time, platform, nodes, dataCentres, 20261204)
@@ -202,7 +203,11 @@
     for (const std::size_t nodes : {10UL, 40UL, 160UL}) {
         FleetBench bench(nodes, 6);
         const double calls = bench.quietCallsPerSecond();
-        std::printf("%zu nodes: %zu readers, %.3f platform calls/s, %.5f a node\n", nodes, bench.fleet.readerCount(), calls, calls / static_cast<double>(nodes));
+        std::printf("%zu nodes: %zu readers, %.3f platform calls/s, %.5f a node\n",
+                    nodes,
+                    bench.fleet.readerCount(),
+                    calls,
+                    calls / static_cast<double>(nodes));
         cr_assert_lt(calls / static_cast<double>(nodes), before);
         before = calls / static_cast<double>(nodes);
     }
--- a/tests/controllers/ticketsearch.cpp
+++ b/tests/controllers/ticketsearch.cpp
@@ -1,7 +1,7 @@
 #include <chervilpaddle/controllers/ticketregistry.h>
 
-#include <criterion/criterion.h>
 #include <array>
+#include <criterion/criterion.h>
 #include <cstdio>
 #include <deque>
 #include <set>
@@ -28,7 +28,8 @@
     HashedKey, //!< The naive way: whoever the node's view of the list says, known by the request's key alone.
 };
 
-struct Message {
+struct Message
+{
     enum class Kind {
         Call,
         Void,
@@ -42,18 +43,21 @@
 
     std::string text() const
     {
-        return std::to_string(static_cast<int>(kind)) + "." + std::to_string(executor) + "." + std::to_string(incarnation) + "." + std::to_string(sequence);
+        return std::to_string(static_cast<int>(kind)) + "." + std::to_string(executor) + "." + std::to_string(incarnation) + "."
+            + std::to_string(sequence);
     }
 };
 
-struct ExecutorModel {
+struct ExecutorModel
+{
     TicketRegistry registry;
     int incarnation = 0;
     std::set<std::uint64_t> queued;
     std::set<std::uint64_t> running;
 };
 
-struct World {
+struct World
+{
     std::array<ExecutorModel, executorCount> executors;
     std::vector<Message> network;
     //! The ticket that the caller holds now: where it is bound to.
--- a/tests/node/nodesettings.cpp
+++ b/tests/node/nodesettings.cpp
@@ -1,17 +1,19 @@
 #include <chervilpaddle/node/nodesettings.h>
 
-#include <criterion/criterion.h>
 #include <algorithm>
+#include <criterion/criterion.h>
 
 using namespace chervilpaddle;
 
 namespace {
 
-const std::string goodSettings = "[instance]\nid = pagos-1\nservice = pagos\ndata_centre = centre-a\n[listen]\ncallers = 127.0.0.1:9001\negress = 127.0.0.1:9002\n"
-                                 "peers = 127.0.0.1:9003\noperators = 127.0.0.1:9004\n[backend]\naddress = 127.0.0.1:9005\n[platform]\naddress = 127.0.0.1:9000\n"
-                                 "[log]\nlevel = info\n";
+const std::string goodSettings =
+    "[instance]\nid = pagos-1\nservice = pagos\ndata_centre = centre-a\n[listen]\ncallers = 127.0.0.1:9001\negress = 127.0.0.1:9002\n"
+    "peers = 127.0.0.1:9003\noperators = 127.0.0.1:9004\n[backend]\naddress = 127.0.0.1:9005\n[platform]\naddress = 127.0.0.1:9000\n"
+    "[log]\nlevel = info\n";
 
-struct BadSetting {
+struct BadSetting
+{
     const char *from;
     const char *to;
     ResultCode code;
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -63,7 +63,15 @@
     answer.code = ResultCode::Shed;
     ConfigurationMessage configuration{"{}", {{CustomerName("a"), "text"}}};
     ConfigurationRequest request{Revision(3), {{CustomerName("a"), "digest"}}};
-    const PeerMessage messages[] = {HelloMessage(), answer, CancelMessage(), VoidMessage(), StatusMessage(), request, configuration, InstancesRequest(), InstancesMessage{"{}"}};
+    const PeerMessage messages[] = {HelloMessage(),
+                                    answer,
+                                    CancelMessage(),
+                                    VoidMessage(),
+                                    StatusMessage(),
+                                    request,
+                                    configuration,
+                                    InstancesRequest(),
+                                    InstancesMessage{"{}"}};
     for (const PeerMessage &message : messages) {
         PeerFrame frame;
         cr_expect_not(decodeFrame(encodeFrame({message, TimePoint()}), frame));
@@ -88,9 +96,23 @@
 Test(codec, malformed_fields_are_refused)
 {
     const std::vector<std::pair<std::string, json>> changes = {
-        {"kind", "nonsense"}, {"kind", 3},        {"ticket", json::array()}, {"ticket", "x"},        {"rank", "high"},   {"rank", -1},       {"rank", 5000},
-        {"remaining", -5},    {"remaining", 1e300}, {"allowance", -1},       {"allowance", 1000000}, {"body", "string"}, {"status", "200"}, {"repeated", 1},
-        {"sent", nullptr},    {"depth", "deep"}, {"customer", 5},
+        {"kind", "nonsense"},
+        {"kind", 3},
+        {"ticket", json::array()},
+        {"ticket", "x"},
+        {"rank", "high"},
+        {"rank", -1},
+        {"rank", 5000},
+        {"remaining", -5},
+        {"remaining", 1e300},
+        {"allowance", -1},
+        {"allowance", 1000000},
+        {"body", "string"},
+        {"status", "200"},
+        {"repeated", 1},
+        {"sent", nullptr},
+        {"depth", "deep"},
+        {"customer", 5},
     };
     for (const auto &[field, bad] : changes) {
         json value = exampleAsJson();
