--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -1,9 +1,12 @@
 #include <chervilpaddle/base/inidocument.h>
+#include <chervilpaddle/mesh/meshnode.h>
 #include <chervilpaddle/node/node.h>
 #include <chervilpaddle/node/nodesettings.h>
 
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <cstdio>
+#include <platform/platformdialect.h>
 
 namespace {
 
@@ -52,10 +55,24 @@
     return settings;
 }
 
-int runNode(const NodeSettings &settings)
+std::error_code serve(const Arguments &arguments, const NodeSettings &settings)
 {
-    Node node(settings);
-    if (const std::error_code error = node.run(); error) {
+    if (!settings.servesPlainHttp) {
+        return Node(settings).run();
+    }
+    const auto reload = [&arguments]() -> std::optional<NodeSettings> {
+        std::vector<Problem> problems;
+        NodeSettings fresh = loadSettings(arguments, problems);
+        return problems.empty() ? std::optional<NodeSettings>(std::move(fresh)) : std::nullopt;
+    };
+    return MeshNode(settings, platform::platformDialect(), reload).run();
+}
+
+int runNode(const Arguments &arguments, const NodeSettings &settings)
+{
+    // A write to a connection that the other end has closed is an error of that connection only.
+    std::signal(SIGPIPE, SIG_IGN);
+    if (const std::error_code error = serve(arguments, settings); error) {
         std::fprintf(stderr, "chervilpaddled: %s (code %d)\n", error.message().c_str(), error.value());
         return exitCannotListen;
     }
@@ -83,5 +100,5 @@
     if (!problems.empty()) {
         return exitBadSettings;
     }
-    return arguments.checkOnly ? 0 : runNode(settings);
+    return arguments.checkOnly ? 0 : runNode(arguments, settings);
 }
--- a/src/chervilpaddle/base/ids.h
+++ b/src/chervilpaddle/base/ids.h
@@ -78,6 +78,8 @@
 };
 
 using InstanceId = StrongString<struct InstanceIdTag>;
+//! Names one start of a backend server, where the platform tells starts apart; empty where it does not.
+using BackendId = StrongString<struct BackendIdTag>;
 using ServiceName = StrongString<struct ServiceNameTag>;
 using CustomerName = StrongString<struct CustomerNameTag>;
 using DataCentreName = StrongString<struct DataCentreNameTag>;
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -52,6 +52,7 @@
     CancelledWhileRunning = 3008,
     AnswerTooLarge = 3009,
     RepeatUndecided = 3010,
+    AnswerUnverified = 3011,
 
     SettingsUnreadable = 4001,
     SettingUnknown = 4002,
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -478,6 +478,7 @@
     answer.code = code;
     answer.allowance = allowance;
     answer.price = price(call.context.operation);
+    answer.load = static_cast<double>(running() + static_cast<int>(m_queue.size())) / m_slots.limit();
     return answer;
 }
 
--- /dev/null
+++ b/src/chervilpaddle/controllers/instancedirectory.cpp
@@ -0,0 +1,74 @@
+#include <chervilpaddle/controllers/instancedirectory.h>
+
+namespace chervilpaddle {
+
+namespace {
+//! The platform's promise: entries that lapsed while it was away are back this soon after its return.
+constexpr Duration returnTime = std::chrono::milliseconds(2200);
+} // namespace
+
+void InstanceDirectory::update(const std::vector<Entry> &entries, std::optional<TimePoint> answeringSince, TimePoint now)
+{
+    std::map<BackendId, Entry> next;
+    for (const Entry &entry : entries) {
+        const BackendId &backend = entry.instance.backend;
+        next[backend] = entry;
+        m_vanished.erase(backend);
+        entry.instance.leaving ? static_cast<void>(m_left.insert(backend)) : static_cast<void>(m_left.erase(backend));
+    }
+    for (const auto &[backend, entry] : m_entries) {
+        if (next.count(backend) != 0) {
+            continue;
+        }
+        if (!entry.instance.leaving && mayComeBack(answeringSince, now)) {
+            next[backend] = entry;
+            m_vanished.insert(backend);
+        } else {
+            m_left.insert(backend);
+            m_vanished.erase(backend);
+        }
+    }
+    m_entries = std::move(next);
+}
+
+bool InstanceDirectory::expire(std::optional<TimePoint> answeringSince, TimePoint now)
+{
+    if (m_vanished.empty() || mayComeBack(answeringSince, now)) {
+        return false;
+    }
+    for (const BackendId &backend : m_vanished) {
+        m_entries.erase(backend);
+        m_left.insert(backend);
+    }
+    m_vanished.clear();
+    return true;
+}
+
+std::vector<PublishedInstance> InstanceDirectory::instances() const
+{
+    std::map<InstanceId, const Entry *> latest;
+    for (const auto &[backend, entry] : m_entries) {
+        const Entry *&chosen = latest[entry.instance.instance];
+        if (chosen == nullptr || chosen->startedAt <= entry.startedAt) {
+            chosen = &entry;
+        }
+    }
+    std::vector<PublishedInstance> instances;
+    instances.reserve(latest.size());
+    for (const auto &[instance, entry] : latest) {
+        instances.push_back(entry->instance);
+    }
+    return instances;
+}
+
+bool InstanceDirectory::hasLeft(const BackendId &backend) const
+{
+    return m_left.count(backend) != 0;
+}
+
+bool InstanceDirectory::mayComeBack(std::optional<TimePoint> answeringSince, TimePoint now) const
+{
+    return !answeringSince || now - *answeringSince < returnTime;
+}
+
+} // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/instancelist.h
+++ b/src/chervilpaddle/controllers/instancelist.h
@@ -35,6 +35,8 @@
     int slots = 1;
     int connections = 1;
     bool leaving = false;
+    //! The start of the backend server; empty where the platform does not tell starts apart.
+    BackendId backend;
 };
 
 //! The platform's list of live and leaving instances. It lags.
--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -8,6 +8,11 @@
 
 //! The share of calls that are let through though they cannot pay, so that a fallen price is noticed.
 constexpr double trickleShare = 0.01;
+//! Above this part of its slots an instance of the own data centre is compared with those of the others.
+constexpr double fullLoad = 0.85;
+//! How much emptier an instance of another data centre must be to be preferred.
+constexpr double remoteLoadMargin = 0.1;
+constexpr Duration loadLifetime = std::chrono::milliseconds(500);
 
 std::vector<InstanceId> idsOf(const std::vector<Candidate> &candidates)
 {
@@ -42,11 +47,16 @@
     if (near.empty() && far.empty()) {
         return {nullptr, Refusal::NoInstance};
     }
-    if (const Candidate *candidate = pickFrom(near, question, now); candidate != nullptr) {
-        return {candidate, Refusal::None};
+    const Candidate *nearest = pickFrom(near, question, now);
+    if (nearest != nullptr && (far.empty() || hasRoom(*nearest, now))) {
+        return {nearest, Refusal::None};
     }
-    if (const Candidate *candidate = pickFrom(far, question, now); candidate != nullptr) {
-        return {candidate, Refusal::None};
+    const Candidate *remote = pickFrom(far, question, now);
+    if (nearest != nullptr && (remote == nullptr || loadOf(*nearest, now) <= loadOf(*remote, now) + remoteLoadMargin)) {
+        return {nearest, Refusal::None};
+    }
+    if (remote != nullptr) {
+        return {remote, Refusal::None};
     }
     if (uniformFraction(m_random) < trickleShare) {
         const auto &pool = near.empty() ? far : near;
@@ -65,7 +75,29 @@
     }
     const Candidate *first = payable[uniformIndex(m_random, payable.size())];
     const Candidate *second = payable[uniformIndex(m_random, payable.size())];
-    return inFlight(second->instance) < inFlight(first->instance) ? second : first;
+    const double firstLoad = loadOf(*first, now);
+    const double secondLoad = loadOf(*second, now);
+    if (firstLoad == secondLoad) {
+        return inFlight(second->instance) < inFlight(first->instance) ? second : first;
+    }
+    return secondLoad < firstLoad ? second : first;
+}
+
+void InstancePicker::recordLoad(const InstanceId &instance, double load, TimePoint now)
+{
+    m_loads[instance] = {load, now};
+}
+
+//! What an executor said last; forgotten when it has not been asked for a while, so that it is tried again.
+double InstancePicker::loadOf(const Candidate &candidate, TimePoint now) const
+{
+    const auto load = m_loads.find(candidate.instance);
+    return load == m_loads.end() || now - load->second.updated > loadLifetime ? 0 : load->second.value;
+}
+
+bool InstancePicker::hasRoom(const Candidate &candidate, TimePoint now) const
+{
+    return loadOf(candidate, now) < fullLoad;
 }
 
 bool InstancePicker::canPay(const Candidate &candidate, const Question &question, TimePoint now) const
--- a/src/chervilpaddle/controllers/instancepicker.h
+++ b/src/chervilpaddle/controllers/instancepicker.h
@@ -17,6 +17,8 @@
     Incarnation incarnation;
     DataCentreName dataCentre;
     bool draining = false;
+    //! The start of its backend server that the platform's list names.
+    BackendId backend = BackendId();
 };
 
 //! Chooses an executor for a call: the less loaded of two random instances of the own data centre that the call
@@ -51,6 +53,9 @@
     void callEnded(const InstanceId &instance);
     int inFlight(const InstanceId &instance) const;
 
+    //! Notes what an executor said of its load: calls running and queued for each of its slots.
+    void recordLoad(const InstanceId &instance, double load, TimePoint now);
+
     PriceTable &prices();
     const PriceTable &prices() const;
     Ejection &ejection();
@@ -60,11 +65,20 @@
 
 private:
     const Candidate *pickFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now);
+    struct Load
+    {
+        double value = 0;
+        TimePoint updated;
+    };
+
+    bool hasRoom(const Candidate &candidate, TimePoint now) const;
+    double loadOf(const Candidate &candidate, TimePoint now) const;
     bool canPay(const Candidate &candidate, const Question &question, TimePoint now) const;
 
     DataCentreName m_ownDataCentre;
     RandomSource m_random;
     std::unordered_map<InstanceId, int> m_inFlight;
+    std::unordered_map<InstanceId, Load> m_loads;
     PriceTable m_prices;
     Ejection m_ejection;
 };
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -9,6 +9,8 @@
 //! How long after its deadline a call still waits for the executor's own word on whether it ran.
 constexpr Duration answerGrace = std::chrono::milliseconds(20);
 constexpr double largestHopBudget = 10;
+//! How often a call that no backend server has seen is sent on to another instance.
+constexpr int mostFreeMoves = 3;
 
 bool isRefusalWorthRepeating(ResultCode code)
 {
@@ -25,6 +27,22 @@
     }
 }
 
+//! The executor refused the call before its backend server saw it.
+bool isRefusedBeforeBackend(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Shed:
+    case ResultCode::Leaving:
+    case ResultCode::DeadlineTooClose:
+    case ResultCode::BackendUnreachable:
+    case ResultCode::MintersExhausted:
+    case ResultCode::ExecutorReplaced:
+        return outcomeOf(code) == Outcome::NotRun;
+    default:
+        return false;
+    }
+}
+
 bool isInstanceFailure(ResultCode code)
 {
     switch (code) {
@@ -91,7 +109,8 @@
         }
         const Ticket ticket{{m_options.incarnation, ++m_lastSequence}, candidate->instance, candidate->incarnation};
         pending.tried.insert(ticket.executor);
-        if (sendAttempt(id, ticket)) {
+        const BackendId backend = candidate->backend;
+        if (sendAttempt(id, ticket, backend)) {
             return;
         }
     }
@@ -108,22 +127,24 @@
         finish(id, first ? ResultCode::NoInstance : ResultCode::ExecutorReplaced, {});
         return;
     }
-    if (candidate == nullptr || !sendAttempt(id, ticket)) {
+    if (candidate == nullptr || !sendAttempt(id, ticket, candidate->backend)) {
         finish(id, first ? ResultCode::NoInstance : ResultCode::ExecutorGone, {});
     }
 }
 
-bool Router::sendAttempt(CallId id, const Ticket &ticket)
+bool Router::sendAttempt(CallId id, const Ticket &ticket, const BackendId &backend)
 {
     Pending &pending = m_pending.at(id);
     CallMessage message;
     message.ticket = ticket;
     message.context = pending.call.context;
+    message.context.backend = backend;
     message.context.branchRepeated = pending.call.context.branchRepeated || pending.mayHaveRun;
     message.remaining = std::chrono::duration_cast<Duration>(pending.call.deadline - m_hooks.clock());
     message.payload = pending.call.payload;
-    message.allowance = pending.call.allowance->lend();
+    message.allowance = pending.call.lendsAllowance ? pending.call.allowance->lend() : 0;
     pending.message = message;
+    pending.lastExecutor = ticket.executor;
     pending.lent = message.allowance;
     m_callOfTicket[ticket.id] = id;
     m_ticketsAt[ticket.executor].insert(ticket.id);
@@ -198,6 +219,7 @@
         return;
     }
     pending.call.allowance->takeBack(answer.allowance, pending.lent);
+    m_picker.recordLoad(instance, answer.load, m_hooks.clock());
     m_picker.prices().record(instance, pending.call.context.operation, answer.price, m_hooks.clock());
     recordHealth(instance, answer.code);
     attemptEnded(id, answer.code, answer.payload);
@@ -236,7 +258,7 @@
     const Outcome outcome = outcomeOf(code);
     const bool safe = outcome == Outcome::NotRun || pending.call.context.idempotent;
     if (!m_options.policy.allowance) {
-        return safe && payForRepeat(pending);
+        return safe && payForRepeat(pending, code);
     }
     const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code);
     if (!safe || !useful) {
@@ -244,13 +266,20 @@
     }
     // Look before paying: a repeat that nobody would take must not cost anything.
     ResultCode refusal = ResultCode::NoInstance;
-    return choose(pending, refusal) != nullptr && payForRepeat(pending);
+    return choose(pending, refusal) != nullptr && payForRepeat(pending, code);
 }
 
-bool Router::payForRepeat(Pending &pending)
+bool Router::payForRepeat(Pending &pending, ResultCode code)
 {
+    if (pending.call.freeMoves && isRefusedBeforeBackend(code)) {
+        return ++pending.moves <= mostFreeMoves;
+    }
     if (m_options.policy.allowance) {
-        return pending.call.allowance->spend();
+        if (pending.call.allowance->held() == 0) {
+            return false;
+        }
+        const bool paid = !m_hooks.payRepeat || m_hooks.payRepeat(serviceOf(pending.call.context.operation));
+        return paid && pending.call.allowance->spend();
     }
     if (pending.attempts >= m_options.policy.triesPerHop) {
         return false;
@@ -271,7 +300,7 @@
     Pending &pending = node.mapped();
     closeAttempt(pending);
     const int spent = std::max(0, pending.allowanceBefore - pending.call.allowance->held());
-    const CallResult result{code, payload, pending.attempts, spent};
+    const CallResult result{code, payload, pending.attempts, spent, pending.lastExecutor};
     pending.completion(result);
 }
 
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -28,6 +28,10 @@
     std::optional<Ticket> boundTicket;
     //! The caller says that it presents the ticket for the first time: unless it goes out from here, it has not run.
     bool isFirstPresentation = false;
+    //! A call that no backend server has seen may be sent elsewhere without spending allowance.
+    bool freeMoves = false;
+    //! Whether the backend server's own calls may spend from the allowance.
+    bool lendsAllowance = true;
 };
 
 //! How a call ended for its caller.
@@ -38,6 +42,8 @@
     int attempts = 0;
     //! What of the held allowance was spent here, below, or lost with an answer.
     int repeatsSpent = 0;
+    //! Where the last attempt went; empty where there was none.
+    InstanceId executor;
 };
 
 //! Counters of a router since its start.
@@ -64,6 +70,8 @@
         std::function<const std::vector<Candidate> &(const ServiceName &)> candidates;
         //! Sends a message; false where no link is open, in which case nothing was sent. Never answers before it returns.
         std::function<bool(const InstanceId &, const PeerMessage &)> send;
+        //! Pays for a repeat of a call that a backend server of the service has seen; not set: every repeat is allowed.
+        std::function<bool(const ServiceName &)> payRepeat = nullptr;
     };
     struct Options
     {
@@ -108,9 +116,11 @@
         std::set<InstanceId> tried;
         int allowanceBefore = 0;
         int attempts = 0;
+        int moves = 0;
         bool mayHaveRun = false;
         ResultCode lastCode = ResultCode::NoInstance;
         Payload lastPayload;
+        InstanceId lastExecutor;
         //! The attempt in progress.
         std::optional<CallMessage> message;
         int lent = 0;
@@ -118,12 +128,12 @@
 
     void attempt(CallId id);
     void attemptBound(CallId id, const Ticket &ticket);
-    bool sendAttempt(CallId id, const Ticket &ticket);
+    bool sendAttempt(CallId id, const Ticket &ticket, const BackendId &backend);
     const Candidate *choose(const Pending &pending, ResultCode &refusal);
     const Candidate *linked(const ServiceName &service, const InstanceId &instance) const;
     void attemptEnded(CallId id, ResultCode code, const Payload &payload);
     bool mayRepeat(Pending &pending, ResultCode code);
-    bool payForRepeat(Pending &pending);
+    bool payForRepeat(Pending &pending, ResultCode code);
     void finish(CallId id, ResultCode code, const Payload &payload);
     void deadlinePassed(CallId id);
     void sendCancel(const Pending &pending);
--- /dev/null
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -0,0 +1,57 @@
+#include <chervilpaddle/mesh/meshbackend.h>
+
+#include <algorithm>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! How long an answer is waited for after the deadline that the backend server was told.
+constexpr Duration answerSlack = std::chrono::milliseconds(250);
+//! A backend server beside the node answers a connect at once, or not at all.
+constexpr Duration connectTimeout = std::chrono::milliseconds(500);
+//! Where a server announces no idle time: the shortest that is common.
+constexpr Duration longestIdle = std::chrono::seconds(4);
+
+HttpClient::Options clientOptions(const Endpoint &address, const Dialect &dialect)
+{
+    HttpClient::Options options;
+    options.address = address;
+    options.largestBody = largestBodyBytes;
+    options.connectTimeout = connectTimeout;
+    options.longestIdle = longestIdle;
+    options.acceptsOpenEnd = true;
+    options.isOwnAnswer = dialect.isOwnAnswer;
+    return options;
+}
+
+} // namespace
+
+MeshBackend::MeshBackend(
+    boost::asio::io_context &context, const Endpoint &address, const Dialect &dialect, Clock clock, Finished finished)
+    : m_dialect(dialect)
+    , m_clock(std::move(clock))
+    , m_finished(std::move(finished))
+    , m_client(context, clientOptions(address, dialect))
+{
+}
+
+void MeshBackend::start(const Run &run)
+{
+    const Duration remaining = std::max(Duration::zero(), std::chrono::duration_cast<Duration>(run.deadline - m_clock()));
+    HttpRequest request = m_dialect.backendRequest(run.call, remaining);
+    m_requests[run.id] = m_client.send(std::move(request), remaining + answerSlack, [this, id = run.id](const HttpResult &result) {
+        m_requests.erase(id);
+        HttpResult answer = result;
+        m_finished(id, m_dialect.backendResult(answer));
+    });
+}
+
+void MeshBackend::cancel(RunId run)
+{
+    if (const auto request = m_requests.find(run); request != m_requests.end()) {
+        m_client.cancel(request->second);
+    }
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -0,0 +1,533 @@
+#include <chervilpaddle/mesh/meshcore.h>
+
+#include <chervilpaddle/contract/contract.h>
+#include <chervilpaddle/controllers/peerselection.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! Slots assumed while the platform's list has not said.
+constexpr int slotsBeforeList = 16;
+constexpr Duration executorTick = std::chrono::milliseconds(10);
+constexpr Duration linkTick = std::chrono::milliseconds(50);
+constexpr Duration directoryTick = std::chrono::milliseconds(100);
+//! Up to this many instances every node keeps a link to every other; more are divided into subsets.
+constexpr std::size_t largestFullMesh = 128;
+constexpr int highestWorth = 10;
+//! The longest time given to a request whose caller names none.
+constexpr Duration defaultPatience = std::chrono::seconds(30);
+//! Records of finished calls serve only frames that a new link repeats, which come within seconds.
+constexpr std::size_t mostTicketRecords = 16384;
+constexpr std::size_t mostTicketMinters = 4096;
+constexpr std::size_t mostTicketAnswerBytes = 2 * mebibyte;
+constexpr std::size_t largestStoreAnswer = 4 * mebibyte;
+
+void scheduleOn(boost::asio::io_context &context, Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+HttpClient::Options storeOptions(const Endpoint &address)
+{
+    HttpClient::Options options;
+    options.address = address;
+    options.largestBody = largestStoreAnswer;
+    return options;
+}
+
+Worth worthOf(const Route &route)
+{
+    return Worth(std::clamp(highestWorth - route.priority, minimumWorth, highestWorth));
+}
+
+} // namespace
+
+MeshCore::MeshCore(boost::asio::io_context &context, const NodeSettings &settings, const Dialect &dialect, EventLog &log)
+    : m_context(context)
+    , m_settings(settings)
+    , m_dialect(dialect)
+    , m_log(log)
+    , m_clock(steadyClock())
+    , m_random(entropySeed())
+    , m_incarnation(randomIdentifier(m_random))
+    , m_routes(std::make_shared<const RouteTable>())
+    , m_split(uniformFraction(m_random))
+    , m_repeats(settings.repeats, m_clock)
+    , m_backend(context, settings.backend, dialect, m_clock, [this](RunId run, const BackendResult &result) { m_executor->finished(run, result); })
+    , m_storeClient(context, storeOptions(settings.platform))
+{
+    makeControllers();
+}
+
+void MeshCore::makeControllers()
+{
+    m_transport = std::make_unique<PeerTransport>(m_context, transportHooks());
+    const TicketRegistry::Limits tickets{mostTicketRecords, mostTicketMinters, mostTicketAnswerBytes};
+    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, tickets},
+                                            executorHooks());
+    // Runs of a node that was here before may still hold slots.
+    m_executor->backendRestarted();
+    m_router =
+        std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
+    // Until the platform's list names the backend server beside this node, nothing is sent to it.
+    const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true, {}};
+    m_links = std::make_unique<LinkController>(self, m_settings.service, linkHooks(), m_random());
+    m_configurationMirror = std::make_unique<PrefixMirror>(
+        m_dialect.configurationPrefix, mirrorHooks("configuration", [this] { configurationChanged(); }), m_random());
+    m_instancesMirror =
+        std::make_unique<PrefixMirror>(m_dialect.instancesPrefix, mirrorHooks("instances", [this] { instancesChanged(); }), m_random());
+}
+
+std::error_code MeshCore::start()
+{
+    if (const std::error_code error = m_transport->listen(m_settings.peers); error) {
+        return error;
+    }
+    m_configurationMirror->start();
+    m_instancesMirror->start();
+    repeatEvery(executorTick, [this] { m_executor->tick(); });
+    repeatEvery(linkTick, [this] { m_links->tick(); });
+    repeatEvery(directoryTick, [this] {
+        if (m_directory.expire(m_instancesMirror->answeringSince(), m_clock())) {
+            applyInstances();
+        }
+    });
+    return {};
+}
+
+void MeshCore::repeatEvery(Duration period, std::function<void()> action)
+{
+    scheduleOn(m_context, period, [this, period, action = std::move(action)] {
+        action();
+        repeatEvery(period, action);
+    });
+}
+
+PrefixMirror::Hooks MeshCore::mirrorHooks(const char *what, std::function<void()> changed)
+{
+    PrefixMirror::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
+    hooks.reader = m_dialect.storeReader(m_storeClient);
+    hooks.changed = std::move(changed);
+    hooks.availability = [this, what](bool isAnswering) {
+        if (isAnswering) {
+            m_log.info({"the platform answers", ResultCode::Success, {}, what});
+        } else {
+            m_log.warn({"the platform does not answer", ResultCode::PlatformUnreachable, {}, what});
+        }
+    };
+    return hooks;
+}
+
+Executor::Hooks MeshCore::executorHooks()
+{
+    return {m_clock, [this](const Run &run) { m_backend.start(run); }, [this](RunId run) { m_backend.cancel(run); }};
+}
+
+Router::Hooks MeshCore::routerHooks()
+{
+    Router::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
+    hooks.candidates = [this](const ServiceName &service) -> const std::vector<Candidate> & { return m_links->candidates(service); };
+    hooks.send = [this](const InstanceId &instance, const PeerMessage &message) { return sendToInstance(instance, message); };
+    hooks.payRepeat = [this](const ServiceName &service) { return m_repeats.spend(service); };
+    return hooks;
+}
+
+LinkController::Hooks MeshCore::linkHooks()
+{
+    LinkController::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.dial = [this](const Endpoint &address) { return m_transport->dial(address); };
+    hooks.send = [this](ConnectionId connection, const PeerMessage &message) { m_transport->send(connection, message); };
+    hooks.close = [this](ConnectionId connection) { m_transport->close(connection); };
+    hooks.hello = [this] { return hello(); };
+    hooks.status = [this] { return status(); };
+    hooks.hasOutstanding = [this](const InstanceId &instance) { return m_router->hasOutstanding(instance); };
+    hooks.suspect = [this](const InstanceId &instance) {
+        m_log.warn({"instance cannot be reached", ResultCode::ExecutorGone, {}, instance.value()});
+        m_router->instanceSuspect(instance);
+    };
+    hooks.replaced = [this](const InstanceId &instance, Incarnation current) {
+        m_log.info({"instance was replaced", ResultCode::ExecutorReplaced, {}, instance.value()});
+        m_router->instanceReplaced(instance, current);
+    };
+    hooks.relinked = [this](const InstanceId &instance) {
+        m_log.debug({"link is open", ResultCode::Success, {}, instance.value()});
+        m_router->instanceRelinked(instance);
+    };
+    hooks.received = [this](const PeerEvent &event) { receivedFromPeer(event); };
+    return hooks;
+}
+
+PeerTransport::Hooks MeshCore::transportHooks()
+{
+    PeerTransport::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.opened = [this](ConnectionId connection, bool inbound) { m_links->opened(connection, inbound); };
+    hooks.received = [this](ConnectionId connection, const PeerFrame &frame) { m_links->received(connection, frame); };
+    hooks.closed = [this](ConnectionId connection) { m_links->closed(connection); };
+    hooks.refused = [this](ConnectionId /*connection*/, std::error_code error) {
+        m_log.warn({"a peer's frame was refused", static_cast<ResultCode>(error.value()), {}, error.message()});
+    };
+    return hooks;
+}
+
+void MeshCore::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++m_counters.requests;
+    const auto incoming = m_dialect.parseCall(exchange->mutableRequest(), m_settings.service);
+    if (!incoming) {
+        refuse(exchange, {}, ResultCode::Malformed, "the request has no id or an unreadable deadline");
+        return;
+    }
+    if (m_routes->revision().value() == 0) {
+        refuse(exchange, incoming->request, ResultCode::NoConfiguration, {});
+        return;
+    }
+    const Route *route = m_routes->match(incoming->host, incoming->head->target);
+    if (route == nullptr) {
+        refuse(exchange, incoming->request, ResultCode::UnknownOperation, incoming->host + incoming->head->target);
+        return;
+    }
+    enter(exchange, *incoming, *route);
+}
+
+void MeshCore::enter(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route)
+{
+    const RouteTarget &target = m_split.next(route);
+    m_repeats.recordRequest(target.service);
+    Payload payload;
+    payload.head = incoming.head;
+    payload.body = std::make_shared<const std::string>(exchange->takeBody());
+    const Entered entered{exchange, incoming.request, &route, m_routes, target.operation, m_clock()};
+    // A call may end before its number is known here; the caller's leaving then finds nothing to cancel.
+    const auto call = std::make_shared<CallId>();
+    *call = m_router->call(outboundFor(incoming, route, target, std::move(payload)),
+                           [this, entered](const CallResult &result) { ended(entered, result); });
+    exchange->onDisconnect([this, call, request = incoming.request] {
+        ++m_counters.left;
+        m_log.debug({"the caller has gone", ResultCode::CancelledWhileRunning, request, {}});
+        m_router->cancel(*call);
+    });
+}
+
+OutboundCall MeshCore::outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, Payload payload) const
+{
+    OutboundCall call;
+    call.context.request = incoming.request;
+    call.context.operation = target.operation;
+    call.context.idempotent = route.idempotent;
+    call.context.rank = worthOf(route).value() + hashFraction(incoming.request.value());
+    call.deadline = m_clock() + std::min(incoming.patience.value_or(defaultPatience), route.timeout);
+    call.payload = std::move(payload);
+    call.allowance = std::make_shared<Allowance>(std::max(0, route.attempts - 1));
+    call.freeMoves = true;
+    call.lendsAllowance = false;
+    return call;
+}
+
+void MeshCore::ended(const Entered &entered, const CallResult &result)
+{
+    const Outcome outcome = outcomeOf(result.code);
+    ++(outcome == Outcome::Done ? m_counters.served : outcome == Outcome::NotRun ? m_counters.refused : m_counters.failed);
+    if (outcome != Outcome::Done) {
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock() - entered.arrived);
+        m_log.info({outcome == Outcome::NotRun ? "request refused" : "request failed",
+                    result.code,
+                    entered.request,
+                    "route " + entered.route->name.value() + ", operation " + entered.operation.value() + ", after "
+                        + std::to_string(elapsed.count()) + " ms and " + std::to_string(result.attempts) + " attempts, last at "
+                        + result.executor.value() + ", configuration " + std::to_string(entered.table->revision().value()) + ", instances "
+                        + std::to_string(m_instancesMirror->lastChange().value())});
+    }
+    entered.exchange->respond(m_dialect.response(entered.request, result, comeBackAfter(entered, result)));
+}
+
+std::optional<Duration> MeshCore::comeBackAfter(const Entered & /*entered*/, const CallResult &result)
+{
+    if (outcomeOf(result.code) != Outcome::NotRun) {
+        return std::nullopt;
+    }
+    constexpr double soonest = 0.1;
+    constexpr double spread = 0.5;
+    return fromSeconds(soonest + spread * uniformFraction(m_random));
+}
+
+void MeshCore::refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail)
+{
+    ++m_counters.refused;
+    m_log.info({"request refused", code, request, detail});
+    CallResult result;
+    result.code = code;
+    exchange->respond(m_dialect.response(request, result, comeBackAfter({}, result)));
+}
+
+bool MeshCore::sendToInstance(const InstanceId &instance, const PeerMessage &message)
+{
+    if (instance != m_settings.instance) {
+        return m_links->send(instance, message);
+    }
+    boost::asio::post(m_context, [this, message] { submitLocally(message); });
+    return true;
+}
+
+void MeshCore::submitLocally(const PeerMessage &message)
+{
+    if (const auto *call = std::get_if<CallMessage>(&message); call != nullptr) {
+        submit(*call, Duration::zero(), [this](const AnswerMessage &answer) {
+            boost::asio::post(m_context, [this, answer] { m_router->answered(m_settings.instance, answer); });
+        });
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&message); cancel != nullptr) {
+        m_executor->cancel(cancel->ticket);
+    }
+}
+
+void MeshCore::receivedFromPeer(const PeerEvent &event)
+{
+    if (const auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
+        const ConnectionId connection = event.connection;
+        m_links->addUnanswered(connection, 1);
+        submit(*call, event.waited, [this, connection](const AnswerMessage &answer) {
+            m_links->addUnanswered(connection, -1);
+            m_links->reply(connection, answer);
+        });
+    } else if (const auto *answer = std::get_if<AnswerMessage>(&event.message); answer != nullptr) {
+        m_router->answered(event.instance, *answer);
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&event.message); cancel != nullptr) {
+        m_executor->cancel(cancel->ticket);
+    } else if (const auto *voided = std::get_if<VoidMessage>(&event.message); voided != nullptr) {
+        m_executor->voidTicket(voided->ticket);
+    } else {
+        exchangeDocuments(event);
+    }
+}
+
+//! A call for a backend server that is known to leave is refused before it can start there.
+void MeshCore::submit(const CallMessage &call, Duration waited, Executor::Reply reply)
+{
+    const bool isOther = m_ownBackend && m_ownBackend->backend != call.context.backend;
+    const bool isLeaving = m_ownBackend && m_ownBackend->leaving;
+    if (isOther || isLeaving || m_directory.hasLeft(call.context.backend)) {
+        AnswerMessage answer;
+        answer.ticket = call.ticket.id;
+        answer.code = ResultCode::Leaving;
+        answer.allowance = call.allowance;
+        reply(answer);
+        return;
+    }
+    m_executor->submit(call, waited, std::move(reply));
+    if (m_executor->incarnation() != m_incarnation) {
+        m_incarnation = m_executor->incarnation();
+        refreshSelf();
+    }
+}
+
+//! Peers tell each other what they have read; who is behind asks for it.
+void MeshCore::exchangeDocuments(const PeerEvent &event)
+{
+    if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
+        if (m_configurationMirror->isBehind(status->configuration)) {
+            m_links->reply(event.connection, ConfigurationRequest{m_configurationMirror->lastChange(), {}});
+        }
+        if (m_instancesMirror->isBehind(status->instances)) {
+            m_links->reply(event.connection, InstancesRequest{m_instancesMirror->lastChange()});
+        }
+    } else if (std::holds_alternative<ConfigurationRequest>(event.message)) {
+        m_links->reply(event.connection, ConfigurationMessage{m_configurationMirror->document(), {}});
+    } else if (std::holds_alternative<InstancesRequest>(event.message)) {
+        m_links->reply(event.connection, InstancesMessage{m_instancesMirror->document()});
+    } else if (const auto *configuration = std::get_if<ConfigurationMessage>(&event.message); configuration != nullptr) {
+        m_configurationMirror->adopt(configuration->manifest);
+    } else if (const auto *instances = std::get_if<InstancesMessage>(&event.message); instances != nullptr) {
+        m_instancesMirror->adopt(instances->document);
+    }
+}
+
+void MeshCore::configurationChanged()
+{
+    for (const auto &[key, item] : m_configurationMirror->items()) {
+        std::string reason;
+        auto table = m_dialect.decodeRoutes(item, reason);
+        if (!table) {
+            m_log.warn({"configuration refused", ResultCode::PlatformMalformed, {}, reason});
+            continue;
+        }
+        // Versions only go up, whatever order they are heard in.
+        if (!(m_routes->revision() < table->revision())) {
+            continue;
+        }
+        m_routes = std::make_shared<const RouteTable>(std::move(*table));
+        m_log.info({"configuration is in force",
+                    ResultCode::Success,
+                    {},
+                    "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
+                        + " routes, store revision " + std::to_string(item.revision.value())});
+    }
+    m_links->broadcastStatus();
+}
+
+void MeshCore::instancesChanged()
+{
+    std::vector<InstanceDirectory::Entry> entries;
+    for (const auto &[key, item] : m_instancesMirror->items()) {
+        std::string reason;
+        auto entry = m_dialect.decodeInstance(item, reason);
+        if (!entry) {
+            ++m_counters.unreadableEntries;
+            m_log.warn({"instance entry ignored", ResultCode::PlatformMalformed, {}, key + ": " + reason});
+            continue;
+        }
+        entry->instance.peerAddress = {entry->instance.instance.value(), m_settings.peers.port};
+        entries.push_back(std::move(*entry));
+    }
+    m_directory.update(entries, m_instancesMirror->answeringSince(), m_clock());
+    applyInstances();
+    m_links->broadcastStatus();
+}
+
+void MeshCore::applyInstances()
+{
+    m_instances = m_directory.instances();
+    m_repeats.setNodes(m_instances.size());
+    const auto own =
+        std::find_if(m_instances.begin(), m_instances.end(), [this](const auto &i) { return i.instance == m_settings.instance; });
+    const std::optional<PublishedInstance> before = m_ownBackend;
+    m_ownBackend = own == m_instances.end() ? std::optional<PublishedInstance>() : *own;
+    if (m_ownBackend) {
+        m_executor->setSlots(m_ownBackend->slots);
+        if (!before || before->backend != m_ownBackend->backend) {
+            m_log.info({"backend server is listed", ResultCode::Success, {}, m_ownBackend->backend.value()});
+            m_executor->backendRestarted();
+        }
+    }
+    std::vector<PublishedInstance> wanted;
+    if (m_instances.size() <= largestFullMesh) {
+        wanted = m_instances;
+    } else {
+        SelectionBase base{m_settings.instance, m_settings.dataCentre, m_settings.service, {}};
+        for (const ServiceName &service : m_routes->services()) {
+            base.calledServices.insert(service);
+        }
+        InstanceList list;
+        list.instances = m_instances;
+        wanted = selectPeers(list, base);
+    }
+    m_links->setWanted(wanted);
+    refreshSelf();
+    std::size_t leaving = 0;
+    for (const PublishedInstance &instance : m_instances) {
+        leaving += instance.leaving ? 1 : 0;
+    }
+    m_log.info({"instance list is in force",
+                ResultCode::Success,
+                {},
+                "change " + std::to_string(m_instancesMirror->lastChange().value()) + ", " + std::to_string(m_instances.size())
+                    + " instances, " + std::to_string(leaving) + " leaving"});
+}
+
+void MeshCore::refreshSelf()
+{
+    const bool takesWork =
+        m_ownBackend && m_ownBackend->service == m_settings.service && !m_ownBackend->leaving && !m_stopping;
+    const BackendId backend = m_ownBackend ? m_ownBackend->backend : BackendId();
+    m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, !takesWork, backend});
+}
+
+bool MeshCore::isReady() const
+{
+    return !m_stopping && m_routes->revision().value() != 0 && m_instancesMirror->hasContent();
+}
+
+void MeshCore::beginStop()
+{
+    m_stopping = true;
+    m_executor->drain();
+    refreshSelf();
+    m_links->broadcastStatus();
+}
+
+bool MeshCore::isIdle() const
+{
+    return m_executor->running() == 0 && m_router->outstanding() == 0;
+}
+
+void MeshCore::shutdown()
+{
+    m_transport->shutdown();
+}
+
+HelloMessage MeshCore::hello() const
+{
+    HelloMessage hello;
+    hello.instance = m_settings.instance;
+    hello.incarnation = m_executor->incarnation();
+    hello.service = m_settings.service;
+    hello.dataCentre = m_settings.dataCentre;
+    hello.slots = m_ownBackend ? m_ownBackend->slots : slotsBeforeList;
+    return hello;
+}
+
+StatusMessage MeshCore::status() const
+{
+    StatusMessage status;
+    status.draining = m_stopping;
+    status.incarnation = m_executor->incarnation();
+    status.configuration = m_configurationMirror->lastChange();
+    status.instances = m_instancesMirror->lastChange();
+    return status;
+}
+
+const MeshCounters &MeshCore::counters() const
+{
+    return m_counters;
+}
+
+const Executor &MeshCore::executor() const
+{
+    return *m_executor;
+}
+
+const Router &MeshCore::router() const
+{
+    return *m_router;
+}
+
+const LinkController &MeshCore::links() const
+{
+    return *m_links;
+}
+
+const PeerTransport &MeshCore::transport() const
+{
+    return *m_transport;
+}
+
+const RouteTable &MeshCore::routes() const
+{
+    return *m_routes;
+}
+
+const PrefixMirror &MeshCore::configuration() const
+{
+    return *m_configurationMirror;
+}
+
+const PrefixMirror &MeshCore::instances() const
+{
+    return *m_instancesMirror;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -0,0 +1,211 @@
+#include <chervilpaddle/mesh/meshnode.h>
+
+#include <chervilpaddle/base/rcucell.h>
+#include <chervilpaddle/mesh/meshcore.h>
+#include <chervilpaddle/node/nodemetrics.h>
+#include <chervilpaddle/transport/httpserver.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+
+namespace chervilpaddle {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration stopPoll = std::chrono::milliseconds(50);
+//! The platform asks every second and takes a node out after two refusals: callers come until then.
+constexpr Duration callersLeave = std::chrono::milliseconds(3200);
+//! A connection on which nothing came for this long is taken to be out of use.
+constexpr auto callersRest = std::chrono::milliseconds(500);
+//! Left of the grace period for closing what is open.
+constexpr Duration stopMargin = std::chrono::milliseconds(500);
+//! Time for the last answers to leave the sockets.
+constexpr Duration flushTime = std::chrono::milliseconds(100);
+constexpr std::size_t largestOperatorBody = 64 * kibibyte;
+constexpr std::size_t mostCallers = 3000;
+//! Bodies that wait for a backend server, a part of the machine's memory.
+constexpr std::size_t mostBodyBytes = 48 * mebibyte;
+
+HttpResponse textResponse(int status, const std::string &type, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set(headers::contentType, type);
+    response.body = std::move(body);
+    return response;
+}
+
+HttpServer::Options serverOptions(const Endpoint &address, std::size_t largestBody)
+{
+    HttpServer::Options options;
+    options.address = address;
+    options.largestBody = largestBody;
+    options.mostConnections = mostCallers;
+    options.mostBodyBytes = mostBodyBytes;
+    return options;
+}
+
+} // namespace
+
+class MeshNode::Impl
+{
+public:
+    Impl(const NodeSettings &settings, Dialect dialect, Reload reload)
+        : m_settings(settings)
+        , m_dialect(std::move(dialect))
+        , m_reload(std::move(reload))
+        , m_log(settings.instance, settings.logFormat, settings.logLevel)
+        , m_core(m_context, settings, m_dialect, m_log)
+        , m_callers({&m_context}, serverOptions(settings.callers, largestBodyBytes), [this](auto exchange) { m_core.handle(exchange); })
+        , m_readiness({&m_context}, serverOptions(settings.readiness, largestOperatorBody), [this](auto exchange) { handleReadiness(exchange); })
+        , m_operators({&m_context}, serverOptions(settings.operators, largestOperatorBody), [this](auto exchange) { handleOperator(exchange); })
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+        , m_timer(m_context)
+    {
+    }
+
+    std::error_code run()
+    {
+        if (const std::error_code error = listenAll(); error) {
+            return error;
+        }
+        m_log.info({"node is up", ResultCode::Success, {}, "service " + m_settings.service.value() + ", callers at " + toText(m_settings.callers)});
+        waitForSignal();
+        m_context.run();
+        m_log.info({"node is down", ResultCode::Success, {}, {}});
+        m_log.flush();
+        return {};
+    }
+
+private:
+    std::error_code listenAll()
+    {
+        const std::pair<HttpServer *, const char *> servers[] = {
+            {&m_callers, "listen.callers"}, {&m_readiness, "listen.readiness"}, {&m_operators, "listen.operators"}};
+        for (const auto &[server, key] : servers) {
+            if (const std::error_code error = server->listen(); error) {
+                m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, key});
+                return error;
+            }
+        }
+        const std::error_code error = m_core.start();
+        if (error) {
+            m_log.error({"a listening address cannot be bound", ResultCode::AddressInUse, {}, "listen.peers"});
+        }
+        return error;
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            signal == SIGHUP ? reload() : beginStop();
+            waitForSignal();
+        });
+    }
+
+    //! Addresses and names hold for the life of the process; a change of them takes effect at the next start.
+    void reload()
+    {
+        const auto settings = m_reload();
+        if (!settings) {
+            m_log.warn({"settings not reloaded", ResultCode::SettingInvalid, {}, "the file does not check; the settings in force stay"});
+            return;
+        }
+        m_log.info({"settings reloaded", ResultCode::Success, {}, "log level " + settings->logLevel});
+        m_log.setLevel(settings->logLevel);
+    }
+
+    void handleReadiness(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const bool isReady = m_core.isReady();
+        exchange->respond(textResponse(isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n"));
+    }
+
+    void handleOperator(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        if (exchange->request().target == "/metrics") {
+            exchange->respond(textResponse(200, "text/plain; version=0.0.4", m_metrics.scrape(m_core)));
+        } else if (exchange->request().target == "/healthz") {
+            handleReadiness(exchange);
+        } else {
+            exchange->respond(textResponse(404, "text/plain", "not found\n"));
+        }
+    }
+
+    void beginStop()
+    {
+        if (m_stopBegan) {
+            return;
+        }
+        m_stopBegan = steadyClock()();
+        m_log.info({"stop begins", ResultCode::Leaving, {}, std::to_string(m_core.executor().running()) + " runs"});
+        m_callers.closeAfterResponses();
+        m_core.beginStop();
+        pollStop();
+    }
+
+    void pollStop()
+    {
+        m_timer.expires_after(stopPoll);
+        m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
+            const Duration elapsed = steadyClock()() - *m_stopBegan;
+            const bool isDone = elapsed >= callersLeave && m_core.isIdle() && m_callers.isQuiet(callersRest);
+            if (isDone || elapsed >= m_settings.stopGrace - stopMargin) {
+                finishStop(isDone);
+            } else {
+                pollStop();
+            }
+        });
+    }
+
+    void finishStop(bool isDone)
+    {
+        if (!isDone) {
+            m_log.warn({"stop gives up work in flight",
+                        ResultCode::ExecutorGone,
+                        {},
+                        std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
+        }
+        m_callers.stopAccepting();
+        m_readiness.stopAccepting();
+        m_operators.stopAccepting();
+        m_core.shutdown();
+        m_timer.expires_after(flushTime);
+        m_timer.async_wait([this](const boost::system::error_code & /*error*/) { m_context.stop(); });
+    }
+
+    const rcu::ThreadRegistration m_registration;
+    NodeSettings m_settings;
+    Dialect m_dialect;
+    Reload m_reload;
+    EventLog m_log;
+    asio::io_context m_context{1};
+    MeshCore m_core;
+    NodeMetrics m_metrics;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_operators;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    std::optional<TimePoint> m_stopBegan;
+};
+
+MeshNode::MeshNode(const NodeSettings &settings, Dialect dialect, Reload reload)
+    : m_impl(std::make_unique<Impl>(settings, std::move(dialect), std::move(reload)))
+{
+}
+
+MeshNode::~MeshNode() = default;
+
+std::error_code MeshNode::run()
+{
+    return m_impl->run();
+}
+
+} // namespace chervilpaddle
--- a/src/chervilpaddle/node/logging.cpp
+++ b/src/chervilpaddle/node/logging.cpp
@@ -1,13 +1,20 @@
 #include <chervilpaddle/node/logging.h>
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <utility>
 
 namespace chervilpaddle {
 
+namespace {
+//! Bounds the volume of the log under load: about 10 KB a second for each kind of line.
+constexpr int mostLinesPerSecond = 40;
+} // namespace
+
 EventLog::EventLog(const InstanceId &instance, const std::string &format, const std::string &level)
-    : m_logger(std::make_shared<spdlog::logger>("chervilpaddle", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    : m_logger(std::make_shared<spdlog::logger>("chervilpaddle", std::make_shared<spdlog::sinks::stdout_sink_mt>()))
     , m_json(format == "json")
     , m_instance(instance)
 {
@@ -20,24 +27,52 @@
 
 void EventLog::debug(const Event &event)
 {
-    if (m_logger->should_log(spdlog::level::debug)) {
-        m_logger->debug("{}", format(event));
-    }
+    write(spdlog::level::debug, event);
 }
 
 void EventLog::info(const Event &event)
 {
-    m_logger->info("{}", format(event));
+    write(spdlog::level::info, event);
 }
 
 void EventLog::warn(const Event &event)
 {
-    m_logger->warn("{}", format(event));
+    write(spdlog::level::warn, event);
 }
 
 void EventLog::error(const Event &event)
 {
-    m_logger->error("{}", format(event));
+    write(spdlog::level::err, event);
+}
+
+void EventLog::write(int level, const Event &event)
+{
+    const auto severity = static_cast<spdlog::level::level_enum>(level);
+    if (!m_logger->should_log(severity)) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+    std::uint64_t leftOut = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        Volume &volume = m_volumes[event.message];
+        if (volume.second != second) {
+            volume.second = second;
+            volume.lines = 0;
+        }
+        if (++volume.lines > mostLinesPerSecond) {
+            ++volume.leftOut;
+            return;
+        }
+        leftOut = std::exchange(volume.leftOut, 0);
+    }
+    m_logger->log(severity, "{}", format(event, leftOut));
+}
+
+void EventLog::setLevel(const std::string &level)
+{
+    m_logger->set_level(spdlog::level::from_str(level));
 }
 
 void EventLog::flush()
@@ -45,13 +80,14 @@
     m_logger->flush();
 }
 
-std::string EventLog::format(const Event &event) const
+std::string EventLog::format(const Event &event, std::uint64_t leftOut) const
 {
     const int code = static_cast<int>(event.code);
     if (!m_json) {
         std::string line = m_instance.value() + " " + event.message + " code=" + std::to_string(code);
         line += event.request.isEmpty() ? "" : " request=" + event.request.value();
         line += event.detail.empty() ? "" : " detail=" + event.detail;
+        line += leftOut == 0 ? "" : " left_out=" + std::to_string(leftOut);
         return line;
     }
     nlohmann::json line = {{"instance", m_instance.value()}, {"message", event.message}, {"code", code}};
@@ -61,6 +97,9 @@
     if (!event.detail.empty()) {
         line["detail"] = event.detail;
     }
+    if (leftOut > 0) {
+        line["leftOut"] = leftOut;
+    }
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return text.substr(1, text.size() - 2);
 }
--- a/src/chervilpaddle/node/logging.h
+++ b/src/chervilpaddle/node/logging.h
@@ -3,8 +3,11 @@
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
 
+#include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_map>
 
 namespace spdlog {
 class logger;
@@ -25,7 +28,9 @@
         std::string detail;
     };
 
-    //! `format` is "json" or "text"; `level` one of trace, debug, info, warn, error. Writes to standard error.
+    //! `format` is "json" or "text"; `level` one of trace, debug, info, warn, error. Writes to standard output; never
+    //! blocks: where the reader is too slow the oldest lines are dropped. Each message is written at most
+    //! `mostLinesPerSecond` times a second; what was left out is counted in the next line of the same message.
     EventLog(const InstanceId &instance, const std::string &format, const std::string &level);
     ~EventLog();
 
@@ -33,12 +38,24 @@
     void info(const Event &event);
     void warn(const Event &event);
     void error(const Event &event);
+    void setLevel(const std::string &level);
     void flush();
 
 private:
-    std::string format(const Event &event) const;
+    std::string format(const Event &event, std::uint64_t leftOut) const;
+    void write(int level, const Event &event);
+
+    //! Lines of one message in the current second.
+    struct Volume
+    {
+        std::int64_t second = 0;
+        int lines = 0;
+        std::uint64_t leftOut = 0;
+    };
 
     std::shared_ptr<spdlog::logger> m_logger;
+    std::mutex m_mutex;
+    std::unordered_map<std::string, Volume> m_volumes;
     bool m_json;
     InstanceId m_instance;
 };
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -1,5 +1,6 @@
 #include <chervilpaddle/node/nodemetrics.h>
 
+#include <chervilpaddle/mesh/meshcore.h>
 #include <chervilpaddle/node/nodecore.h>
 
 #include <prometheus/counter.h>
@@ -13,17 +14,40 @@
 {
 public:
     std::string scrape(const NodeCore &core)
+    {
+        scrapeConfiguration(core);
+        return scrapeShared(core);
+    }
+
+    std::string scrape(const MeshCore &core)
+    {
+        const MeshCounters &counters = core.counters();
+        counter("chervilpaddle_requests_total", "Requests that arrived at this node's entry", counters.requests);
+        counter("chervilpaddle_requests_served_total", "Requests with a whole answer", counters.served);
+        counter("chervilpaddle_requests_refused_total", "Requests that have not run", counters.refused);
+        counter("chervilpaddle_requests_failed_total", "Requests that may have run and have no answer", counters.failed);
+        counter("chervilpaddle_requests_left_total", "Requests whose caller went away", counters.left);
+        counter("chervilpaddle_unreadable_entries_total", "Entries of the platform that name no instance", counters.unreadableEntries);
+        gauge("chervilpaddle_ready", "1 while callers may be sent here", core.isReady() ? 1 : 0);
+        gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
+        gauge("chervilpaddle_instances_revision",
+              "Last change of the instance list in force",
+              static_cast<double>(core.instances().lastChange().value()));
+        return scrapeShared(core);
+    }
+
+private:
+    template<typename Core>
+    std::string scrapeShared(const Core &core)
     {
         scrapeExecutor(core.executor());
         scrapeRouter(core.router());
-        scrapeConfiguration(core);
         gauge("chervilpaddle_links", "Open links to peers", static_cast<double>(core.links().linkCount()));
         counter("chervilpaddle_peer_sent_bytes_total", "Bytes sent to peers", core.transport().bytesSent());
         counter("chervilpaddle_peer_received_bytes_total", "Bytes received from peers", core.transport().bytesReceived());
         return prometheus::TextSerializer().Serialize(m_registry.Collect());
     }
 
-private:
     void scrapeExecutor(const Executor &executor)
     {
         const ExecutorCounters &counters = executor.counters();
@@ -92,4 +116,9 @@
     return m_impl->scrape(core);
 }
 
+std::string NodeMetrics::scrape(const MeshCore &core)
+{
+    return m_impl->scrape(core);
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/nodemetrics.h
+++ b/src/chervilpaddle/node/nodemetrics.h
@@ -5,6 +5,7 @@
 
 namespace chervilpaddle {
 
+class MeshCore;
 class NodeCore;
 
 //! The node's metrics in Prometheus' text format. Filled from the controllers' counters when asked for, so that
@@ -19,6 +20,8 @@
 
     //! On the core thread.
     std::string scrape(const NodeCore &core);
+    //! The same of a node that serves plain HTTP. On its thread.
+    std::string scrape(const MeshCore &core);
 
 private:
     class Impl;
--- a/src/chervilpaddle/node/nodesettings.cpp
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr int mostThreads = 64;
+constexpr double largestNumber = 1e6;
+const char *const interfaceContracts = "contracts";
+const char *const interfaceHttp = "http";
 
 class SettingsParser
 {
@@ -35,6 +38,7 @@
         for (const SettingOverride &setting : overrides) {
             take(setting.key, setting.value, "command line", 0);
         }
+        m_settings.servesPlainHttp = m_interface == interfaceHttp;
         checkMissing();
         checkAddresses();
         return m_settings;
@@ -62,6 +66,12 @@
         m_keys["peers.seeds"] = {false, [this](const std::string &v) { return takeSeeds(v); }};
         m_keys["log.level"] = choiceKey(m_settings.logLevel, {"trace", "debug", "info", "warn", "error"});
         m_keys["log.format"] = choiceKey(m_settings.logFormat, {"json", "text"});
+        m_keys["process.interface"] = choiceKey(m_interface, {interfaceContracts, interfaceHttp});
+        m_keys["listen.readiness"] = addressKey(m_settings.readiness);
+        m_keys["repeats.ratio"] = numberKey(m_settings.repeats.ratio);
+        m_keys["repeats.slack"] = numberKey(m_settings.repeats.slack);
+        m_keys["repeats.window_seconds"] = secondsKey(m_settings.repeats.window);
+        m_keys["process.stop_grace_seconds"] = secondsKey(m_settings.stopGrace);
         m_keys["process.threads"] = {false, [this](const std::string &v) { return takeThreads(v); }};
     }
 
@@ -69,9 +79,9 @@
     {
         return {true, [assign = std::move(assign)](const std::string &value) -> std::optional<std::string> {
                     const bool plain = std::all_of(
-                        value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
+                        value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
                     if (value.empty() || !plain) {
-                        return "a name of letters, digits, '-' and '_'";
+                        return "a name of letters, digits, '-', '_' and '.'";
                     }
                     assign(value);
                     return std::nullopt;
@@ -105,6 +115,33 @@
                 }};
     }
 
+    static std::optional<double> parseNumber(const std::string &value)
+    {
+        double number = 0;
+        const char *end = value.data() + value.size();
+        const auto [rest, error] = std::from_chars(value.data(), end, number);
+        const bool valid = error == std::errc() && rest == end && number >= 0 && number <= largestNumber;
+        return valid ? std::optional<double>(number) : std::nullopt;
+    }
+
+    static Key numberKey(double &target)
+    {
+        return {false, [&target](const std::string &value) -> std::optional<std::string> {
+                    const auto number = parseNumber(value);
+                    target = number.value_or(target);
+                    return number ? std::nullopt : std::optional<std::string>("a number of zero or more, such as 0.2");
+                }};
+    }
+
+    static Key secondsKey(Duration &target)
+    {
+        return {false, [&target](const std::string &value) -> std::optional<std::string> {
+                    const auto seconds = parseNumber(value);
+                    target = seconds ? fromSeconds(*seconds) : target;
+                    return seconds ? std::nullopt : std::optional<std::string>("a number of seconds, such as 2.5");
+                }};
+    }
+
     std::optional<std::string> takeSeeds(const std::string &value)
     {
         m_settings.seeds.clear();
@@ -144,17 +181,24 @@
     void checkMissing()
     {
         for (const auto &[name, key] : m_keys) {
-            if (key.required && m_seen.count(name) == 0) {
+            if (key.required && !isUnused(name) && m_seen.count(name) == 0) {
                 m_problems.push_back({ResultCode::SettingMissing, m_file, 0, name, "the key is missing"});
             }
         }
     }
 
+    //! Keys that belong to the other interface.
+    bool isUnused(const std::string &name) const
+    {
+        return name == (m_settings.servesPlainHttp ? "listen.egress" : "listen.readiness");
+    }
+
     void checkAddresses()
     {
         const std::map<std::string, Endpoint> listening = {{"listen.callers", m_settings.callers},
                                                            {"listen.egress", m_settings.egress},
                                                            {"listen.peers", m_settings.peers},
+                                                           {"listen.readiness", m_settings.readiness},
                                                            {"listen.operators", m_settings.operators}};
         std::map<std::string, std::string> firstUser;
         for (const auto &[name, endpoint] : listening) {
@@ -171,6 +215,7 @@
     std::string m_file;
     std::vector<Problem> &m_problems;
     NodeSettings m_settings;
+    std::string m_interface = interfaceContracts;
     std::map<std::string, Key> m_keys;
     std::set<std::string> m_seen;
 };
--- a/src/chervilpaddle/node/nodesettings.h
+++ b/src/chervilpaddle/node/nodesettings.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/problem.h>
 #include <chervilpaddle/controllers/instancelist.h>
 #include <chervilpaddle/controllers/policyswitches.h>
+#include <chervilpaddle/controllers/repeatbudget.h>
 
 #include <optional>
 #include <string>
@@ -26,6 +27,14 @@
     std::vector<Endpoint> seeds;
     std::string logLevel = "info";
     std::string logFormat = "json";
+    //! Plain HTTP calls by published routes, in place of calls under contracts.
+    bool servesPlainHttp = false;
+    //! Where the platform asks whether callers may be sent here; plain HTTP only.
+    Endpoint readiness;
+    //! Limits of repeats over all nodes; plain HTTP only.
+    RepeatBudget::Options repeats;
+    //! Time from the signal to stop until the process is killed; plain HTTP only.
+    Duration stopGrace = std::chrono::seconds(10);
     //! Threads that serve callers.
     int threads = 1;
     //! For measurements and tests only; no key in the settings sets it.
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -165,10 +165,36 @@
     return {decodeTicketId(value), InstanceId(value.at(2).get<std::string>()), Incarnation(unsignedOf(value.at(3)))};
 }
 
+//! Method, target, then names and values in turn.
+json encodeHead(const HttpHead &head)
+{
+    json value = json::array({head.method, head.target});
+    for (const auto &[name, text] : head.fields) {
+        value.push_back(name);
+        value.push_back(text);
+    }
+    return value;
+}
+
+HttpHead decodeHead(const json &value)
+{
+    if (!value.is_array() || value.size() < 2 || value.size() % 2 != 0) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    HttpHead head{value[0].get<std::string>(), value[1].get<std::string>(), {}};
+    for (std::size_t i = 2; i < value.size(); i += 2) {
+        head.fields.emplace_back(value[i].get<std::string>(), value[i + 1].get<std::string>());
+    }
+    return head;
+}
+
 void encodePayload(json &value, const Payload &payload)
 {
     value["status"] = payload.status;
     value["type"] = payload.contentType;
+    if (payload.head) {
+        value["head"] = encodeHead(*payload.head);
+    }
     if (payload.body) {
         value["body"] = json::binary(std::vector<std::uint8_t>(payload.body->begin(), payload.body->end()));
     }
@@ -179,6 +205,9 @@
     Payload payload;
     payload.status = intOf(value.at("status"));
     payload.contentType = value.at("type").get<std::string>();
+    if (const auto head = value.find("head"); head != value.end()) {
+        payload.head = std::make_shared<const HttpHead>(decodeHead(*head));
+    }
     if (const auto body = value.find("body"); body != value.end()) {
         const auto &bytes = body->get_binary();
         if (bytes.size() > largestBodyBytes) {
@@ -237,6 +266,9 @@
               {"idempotent", m.context.idempotent},
               {"remaining", std::max<std::int64_t>(0, m.remaining.count())},
               {"allowance", m.allowance}};
+    if (!m.context.backend.isEmpty()) {
+        v["backend"] = m.context.backend.value();
+    }
     encodePayload(v, m.payload);
     return v;
 }
@@ -252,6 +284,7 @@
     m.context.depth = intOf(v.at("depth"));
     m.context.branchRepeated = v.at("repeated").get<bool>();
     m.context.idempotent = v.at("idempotent").get<bool>();
+    m.context.backend = BackendId(v.value("backend", std::string()));
     const auto remaining = unsignedOf(v.at("remaining"));
     constexpr double highestRank = 1001;
     if (remaining > longestDurationMicroseconds || !(m.context.rank >= 0 && m.context.rank <= highestRank)) {
@@ -269,7 +302,8 @@
               {"ticket", encodeTicketId(m.ticket)},
               {"code", static_cast<int>(m.code)},
               {"allowance", m.allowance},
-              {"price", m.price}};
+              {"price", m.price},
+              {"load", m.load}};
     encodePayload(v, m.payload);
     return v;
 }
@@ -287,6 +321,7 @@
     m.code = static_cast<ResultCode>(number);
     m.allowance = decodeAllowance(v);
     m.price = realOf(v.at("price"));
+    m.load = v.contains("load") ? realOf(v.at("load")) : 0;
     m.payload = decodePayload(v);
     return m;
 }
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -60,6 +61,16 @@
     //! An earlier attempt of this branch may have run.
     bool branchRepeated = false;
     bool idempotent = false;
+    //! The start of the backend server that the call is meant for; empty where the platform does not tell starts apart.
+    BackendId backend;
+};
+
+//! What a plain HTTP call or its answer carries besides status and body. Method and target are empty in answers.
+struct HttpHead
+{
+    std::string method;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> fields;
 };
 
 struct Payload
@@ -67,6 +78,8 @@
     int status = 0;
     std::string contentType;
     Body body;
+    //! Set for plain HTTP calls only; shared, not copied, between attempts.
+    std::shared_ptr<const HttpHead> head = nullptr;
 };
 
 struct CallMessage
@@ -88,6 +101,8 @@
     int allowance = 0;
     //! The lowest rank that the operation's call tree admits now.
     Rank price = 0;
+    //! Calls running and queued at the executor for each of its slots.
+    double load = 0;
     Payload payload;
 };
 
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -1,10 +1,12 @@
-#include <chervilpaddle/base/units.h>
 #include <chervilpaddle/transport/httpclient.h>
 
+#include <chervilpaddle/base/units.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
@@ -21,6 +23,27 @@
 
 constexpr std::uint32_t largestHeader = 16 * kibibyte;
 constexpr std::size_t mostIdle = 128;
+//! Taken off the idle time that a server announces: a request sent at the last moment would meet its close.
+constexpr Duration idleMargin = std::chrono::seconds(1);
+//! Answers to earlier requests that are skipped before a connection is given up.
+constexpr int mostForeignAnswers = 3;
+
+//! The idle time that a Keep-Alive field announces.
+std::optional<Duration> announcedIdle(const http::fields &fields)
+{
+    const auto value = fields["Keep-Alive"];
+    const auto at = value.find("timeout=");
+    if (at == beast::string_view::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const auto digits = value.substr(at + 8);
+    const auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error != std::errc() || seconds < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
 
 class Connection : public std::enable_shared_from_this<Connection>
 {
@@ -38,7 +61,8 @@
         char byte = 0;
         const bool quiet =
             ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        return m_stream.socket().is_open() && quiet && m_buffer.size() == 0;
+        const bool fresh = std::chrono::steady_clock::now() - m_idleSince < m_longestIdle;
+        return fresh && m_stream.socket().is_open() && quiet && m_buffer.size() == 0;
     }
 
     void connectAndSend(HttpRequest request, Duration timeout, Ended ended)
@@ -75,21 +99,32 @@
     {
         m_ended = std::move(ended);
         m_deadline = std::chrono::steady_clock::now() + timeout;
+        m_foreignAnswers = 0;
+        m_reusable = false;
         m_request = {};
         m_request.version(11);
         m_request.method_string(request.method);
         m_request.target(request.target);
-        m_request.set(http::field::host, toText(m_options.address));
         for (const auto &[name, value] : request.headers.fields()) {
-            m_request.set(name, value);
+            m_request.insert(name, value);
+        }
+        if (m_request.find(http::field::host) == m_request.end()) {
+            m_request.set(http::field::host, toText(m_options.address));
         }
         m_request.body() = std::move(request.body);
         m_request.prepare_payload();
+        m_asked = std::move(request);
+        prepareParser();
+    }
+
+    void prepareParser()
+    {
         m_parser.emplace();
         m_parser->header_limit(largestHeader);
         m_parser->body_limit(m_options.largestBody);
     }
 
+    //! Reads while it writes: a server may answer before it has taken the whole body.
     void write()
     {
         if (m_cancelled) {
@@ -97,18 +132,16 @@
             return;
         }
         m_stream.expires_at(m_deadline);
-        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            if (error) {
-                self->end({HttpStage::Sent, {}, error == beast::error::timeout, self->m_cancelled});
-                return;
-            }
-            self->read();
+        m_writing = true;
+        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code /*error*/, std::size_t /*bytes*/) {
+            // A failed write shows in the read, which may still hold an answer.
+            self->m_writing = false;
         });
+        read();
     }
 
     void read()
     {
-        m_stream.expires_at(m_deadline);
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
             self->readEnded(error);
         });
@@ -123,16 +156,46 @@
             result.stage = HttpStage::TooLarge;
         } else if (error) {
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
-        } else if (endIsOpen()) {
+        } else if (endIsOpen() && !m_options.acceptsOpenEnd) {
+            result.stage = HttpStage::Truncated;
+        } else if (isForeign()) {
+            if (mayReadOn()) {
+                prepareParser();
+                read();
+                return;
+            }
             result.stage = HttpStage::Truncated;
         } else {
             result.stage = HttpStage::Whole;
             result.response = takeResponse();
         }
-        m_reusable = result.stage == HttpStage::Whole && m_parser->get().keep_alive();
+        m_reusable = result.stage == HttpStage::Whole && !m_writing && m_parser->get().keep_alive();
+        if (m_reusable) {
+            const auto announced = announcedIdle(m_parser->get());
+            m_longestIdle = std::min(m_options.longestIdle, announced ? *announced - idleMargin : m_options.longestIdle);
+            m_idleSince = std::chrono::steady_clock::now();
+        }
         end(result);
     }
 
+    //! The answer is for another request.
+    bool isForeign()
+    {
+        if (!m_options.isOwnAnswer) {
+            return false;
+        }
+        HttpHeaders fields;
+        for (const auto &field : m_parser->get()) {
+            fields.set(std::string(field.name_string()), std::string(field.value()));
+        }
+        return !m_options.isOwnAnswer(m_asked, fields);
+    }
+
+    bool mayReadOn()
+    {
+        return m_parser->get().keep_alive() && !endIsOpen() && ++m_foreignAnswers <= mostForeignAnswers;
+    }
+
     //! The body ends where the connection does: nobody can tell whether it is whole.
     bool endIsOpen() const
     {
@@ -173,6 +236,12 @@
     Ended m_ended;
     bool m_cancelled = false;
     bool m_reusable = false;
+    bool m_writing = false;
+    int m_foreignAnswers = 0;
+    //! What was asked, to tell whether an answer belongs to it; without its body.
+    HttpRequest m_asked;
+    Duration m_longestIdle = m_options.longestIdle;
+    std::chrono::steady_clock::time_point m_idleSince;
 };
 
 } // namespace
--- a/src/chervilpaddle/transport/httpmessage.cpp
+++ b/src/chervilpaddle/transport/httpmessage.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
+#include <utility>
 
 namespace chervilpaddle {
 
-void HttpHeaders::set(const std::string &name, const std::string &value)
+void HttpHeaders::set(std::string name, std::string value)
 {
-    m_fields.emplace_back(name, value);
+    m_fields.emplace_back(std::move(name), std::move(value));
 }
 
 const std::string *HttpHeaders::find(const std::string &name) const
@@ -28,4 +29,9 @@
     return m_fields;
 }
 
+std::vector<std::pair<std::string, std::string>> HttpHeaders::takeFields()
+{
+    return std::move(m_fields);
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -11,12 +11,14 @@
 class HttpHeaders
 {
 public:
-    void set(const std::string &name, const std::string &value);
+    //! Adds a field; one of the same name stays.
+    void set(std::string name, std::string value);
     //! The first field's value, or null.
     const std::string *find(const std::string &name) const;
     //! The first field's value, or the fallback where there is none.
     std::string valueOr(const std::string &name, const std::string &fallback) const;
     const std::vector<std::pair<std::string, std::string>> &fields() const;
+    std::vector<std::pair<std::string, std::string>> takeFields();
 
 private:
     std::vector<std::pair<std::string, std::string>> m_fields;
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -110,6 +110,13 @@
         });
     }
 
+    std::string callerHost() const
+    {
+        beast::error_code error;
+        const auto caller = m_stream.socket().remote_endpoint(error);
+        return error ? std::string() : caller.address().to_string();
+    }
+
     void onDisconnect(std::function<void()> handler)
     {
         m_disconnectHandler = std::move(handler);
@@ -227,7 +234,7 @@
         m_response = std::make_unique<http::response<http::string_body>>();
         m_response->result(static_cast<unsigned>(response.status));
         for (const auto &[name, value] : response.headers.fields()) {
-            m_response->set(name, value);
+            m_response->insert(name, value);
         }
         m_response->body() = std::move(response.body);
         const bool wanted = m_parser && m_parser->is_header_done() && m_parser->get().keep_alive();
@@ -283,6 +290,14 @@
     {
         return m_request;
     }
+    HttpRequest &mutableRequest() override
+    {
+        return m_request;
+    }
+    std::string callerHost() const override
+    {
+        return m_session->callerHost();
+    }
     std::string takeBody() override
     {
         return std::move(m_request.body);
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -19,7 +19,12 @@
 start() {
     local name=$1
     shift
-    "$@" >"$work/$name.out" 2>>"$work/$name.log" &
+    if [[ $name == node-* ]]; then
+        # Nodes log to their standard output.
+        "$@" >>"$work/$name.log" 2>&1 &
+    else
+        "$@" >"$work/$name.out" 2>>"$work/$name.log" &
+    fi
     pid_of[$name]=$!
 }
 
