Refuse at the entry by the pressure of the services in a request's tree

Ruled out: processor (0.27 of 0.4 core at most), the store, links. Change: a call of a backend server is tied to the run that makes it and inherits rank, deadline and depth; answers carry back what a tree held of which service; executors publish a pressure (PI controller over occupancy and wait); the entry refuses the least urgent class whose tree leads there (EntryAdmission). Left: the pressure reaches the more urgent classes, and a shedding backend server collapses the slot limit.

--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -66,6 +66,7 @@
          "The contract does not list this operation among those that the running one calls.",
          403},
         {ResultCode::MintersExhausted, "MintersExhausted", "The executor's ticket table is full; it is changing its incarnation.", 503},
+        {ResultCode::Overloaded, "Overloaded", "Refused at the entry: a service of the request's call tree has no room.", 503},
         {ResultCode::DeadlineWhileRunning, "DeadlineWhileRunning", "The deadline passed while the call was running.", 504},
         {ResultCode::ExecutorGone,
          "ExecutorGone",
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -41,6 +41,7 @@
     ContextUnknown = 2019,
     OperationNotDeclared = 2020,
     MintersExhausted = 2021,
+    Overloaded = 2022,
 
     DeadlineWhileRunning = 3001,
     ExecutorGone = 3002,
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -207,6 +207,7 @@
     active.replies = std::move(waiting.replies);
     active.joined = waiting.joined;
     m_runOfTicket[call.ticket] = id;
+    m_runOfRequest[active.run.call.context.request] = id;
     const Run run = active.run;
     m_hooks.start(run);
 }
@@ -221,6 +222,10 @@
     Active active = std::move(found->second);
     m_runs.erase(found);
     m_runOfTicket.erase(active.run.call.ticket.id);
+    const CallContext &context = active.run.call.context;
+    if (const auto latest = m_runOfRequest.find(context.request); latest != m_runOfRequest.end() && latest->second == id) {
+        m_runOfRequest.erase(latest);
+    }
     ++m_counters.finished;
 
     const TimePoint now = m_hooks.clock();
@@ -236,6 +241,8 @@
     }
     AnswerMessage answer = answerFor(active.run.call, result.code, 0);
     answer.payload = result.payload;
+    answer.costs = std::move(active.costs);
+    answer.costs.push_back({serviceOf(context.operation), toSeconds(now - active.run.started)});
     m_tickets.finish(active.run.call.ticket.id, answer);
     answerRun(active, answer);
     pump();
@@ -348,6 +355,7 @@
     noteOccupancy();
     const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * m_slots.limit());
     const double rate = startsPerSecond();
+    m_pressure.update(occupancy, rate > 0 ? fromSeconds(static_cast<double>(m_queue.size()) / rate) : Duration::zero(), length);
     LoadWindow window;
     window.shortestWait = rate > 0 ? fromSeconds(static_cast<double>(m_shortestQueue) / rate) : Duration::zero();
     window.waitTarget = std::max<Duration>(m_serviceTimes.mean() / standingQueueDivisor, fromSeconds(m_meanSlack * standingSlackShare));
@@ -379,6 +387,30 @@
     return found == m_runs.end() ? nullptr : &found->second.run;
 }
 
+const Run *Executor::findRun(const RequestId &request) const
+{
+    const auto found = m_runOfRequest.find(request);
+    return found == m_runOfRequest.end() ? nullptr : findRun(found->second);
+}
+
+void Executor::addCosts(RunId run, const std::vector<ServiceCost> &costs)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    for (const ServiceCost &cost : costs) {
+        auto &held = found->second.costs;
+        const auto same = std::find_if(held.begin(), held.end(), [&cost](const auto &known) { return known.service == cost.service; });
+        same == held.end() ? held.push_back(cost) : static_cast<void>(same->seconds += cost.seconds);
+    }
+}
+
+double Executor::pressure() const
+{
+    return m_pressure.pressure();
+}
+
 void Executor::recordChildPrice(const OperationName &operation, const OperationName &child, Rank price)
 {
     m_childPrices[operation][child] = {price, m_hooks.clock()};
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/allowance.h>
 #include <chervilpaddle/controllers/policyswitches.h>
+#include <chervilpaddle/controllers/pressurecontroller.h>
 #include <chervilpaddle/controllers/pricecontroller.h>
 #include <chervilpaddle/controllers/servicetimes.h>
 #include <chervilpaddle/controllers/slotlimit.h>
@@ -92,6 +93,12 @@
 
     //! A run in progress, or null.
     const Run *findRun(RunId run) const;
+    //! The run of a request, or null. Where a request has several runs, one of them.
+    const Run *findRun(const RequestId &request) const;
+    //! Adds what a call of a run's backend server has held.
+    void addCosts(RunId run, const std::vector<ServiceCost> &costs);
+    //! How much of its callers' work the backend server must be spared.
+    double pressure() const;
     //! Notes the price of an operation that `operation` calls.
     void recordChildPrice(const OperationName &operation, const OperationName &child, Rank price);
     //! The lowest rank that an operation's tree admits now.
@@ -123,6 +130,7 @@
         bool joined = false;
         bool answered = false;
         bool cancelled = false;
+        std::vector<ServiceCost> costs;
     };
     struct ChildPrice
     {
@@ -154,11 +162,13 @@
     AdmissionQueue m_queue;
     ServiceTimes m_serviceTimes;
     PriceController m_priceController;
+    PressureController m_pressure;
     SlotLimit m_slots;
     ExecutorCounters m_counters;
     std::unordered_map<TicketId, Waiting> m_waiting;
     std::unordered_map<RunId, Active> m_runs;
     std::unordered_map<TicketId, RunId> m_runOfTicket;
+    std::unordered_map<RequestId, RunId> m_runOfRequest;
     std::map<OperationName, std::map<OperationName, ChildPrice>> m_childPrices;
     std::uint64_t m_lastRun = 0;
     bool m_draining = false;
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -221,6 +221,7 @@
     pending.call.allowance->takeBack(answer.allowance, pending.lent);
     m_picker.recordLoad(instance, answer.load, m_hooks.clock());
     m_picker.prices().record(instance, pending.call.context.operation, answer.price, m_hooks.clock());
+    pending.costs.insert(pending.costs.end(), answer.costs.begin(), answer.costs.end());
     recordHealth(instance, answer.code);
     attemptEnded(id, answer.code, answer.payload);
 }
@@ -300,7 +301,7 @@
     Pending &pending = node.mapped();
     closeAttempt(pending);
     const int spent = std::max(0, pending.allowanceBefore - pending.call.allowance->held());
-    const CallResult result{code, payload, pending.attempts, spent, pending.lastExecutor};
+    const CallResult result{code, payload, pending.attempts, spent, pending.lastExecutor, pending.costs};
     pending.completion(result);
 }
 
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -44,6 +44,8 @@
     int repeatsSpent = 0;
     //! Where the last attempt went; empty where there was none.
     InstanceId executor;
+    //! What the call's tree has held of which service.
+    std::vector<ServiceCost> costs;
 };
 
 //! Counters of a router since its start.
@@ -121,6 +123,7 @@
         ResultCode lastCode = ResultCode::NoInstance;
         Payload lastPayload;
         InstanceId lastExecutor;
+        std::vector<ServiceCost> costs;
         //! The attempt in progress.
         std::optional<CallMessage> message;
         int lent = 0;
--- a/src/chervilpaddle/mesh/dialect.h
+++ b/src/chervilpaddle/mesh/dialect.h
@@ -19,6 +19,8 @@
 struct IncomingCall
 {
     RequestId request;
+    //! The request that the caller was running when it made this one, as far as the ids tell; empty otherwise.
+    RequestId parent;
     std::string host;
     //! How long the caller waits; nothing where it does not say.
     std::optional<Duration> patience;
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -4,6 +4,7 @@
 #include <chervilpaddle/controllers/peerselection.h>
 
 #include <algorithm>
+#include <cmath>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -25,6 +26,17 @@
 constexpr std::size_t mostTicketRecords = 16384;
 constexpr std::size_t mostTicketMinters = 4096;
 constexpr std::size_t mostTicketAnswerBytes = 2 * mebibyte;
+//! What a fresh request may have lost of its time on the way.
+constexpr Duration patienceSlack = std::chrono::milliseconds(60);
+constexpr Duration defaultObjective = std::chrono::seconds(1);
+//! Callers told to come back do so within this part of their objective, and of the time that they have left.
+constexpr int returnDivisor = 2;
+constexpr int longestWaitDivisor = 3;
+constexpr double earliestReturn = 0.3;
+//! The pressure is told to all when it has moved by this much, and as long as there is any, this often.
+constexpr double pressureStep = 0.02;
+constexpr Duration pressureInterval = std::chrono::milliseconds(500);
+constexpr Duration pressureTick = std::chrono::milliseconds(100);
 constexpr std::size_t largestStoreAnswer = 4 * mebibyte;
 
 void scheduleOn(boost::asio::io_context &context, Duration delay, std::function<void()> action)
@@ -73,12 +85,14 @@
 {
     m_transport = std::make_unique<PeerTransport>(m_context, transportHooks());
     const TicketRegistry::Limits tickets{mostTicketRecords, mostTicketMinters, mostTicketAnswerBytes};
-    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, m_settings.policy, tickets},
+    // Work is refused by pressure at the entry, not by a price on the way.
+    PolicySwitches policy = m_settings.policy;
+    policy.price = false;
+    m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, policy, tickets},
                                             executorHooks());
     // Runs of a node that was here before may still hold slots.
     m_executor->backendRestarted();
-    m_router =
-        std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
+    m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, policy, m_random()}, routerHooks());
     // Until the platform's list names the backend server beside this node, nothing is sent to it.
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true, {}};
     m_links = std::make_unique<LinkController>(self, m_settings.service, linkHooks(), m_random());
@@ -97,6 +111,7 @@
     m_instancesMirror->start();
     repeatEvery(executorTick, [this] { m_executor->tick(); });
     repeatEvery(linkTick, [this] { m_links->tick(); });
+    repeatEvery(pressureTick, [this] { publishPressure(); });
     repeatEvery(directoryTick, [this] {
         if (m_directory.expire(m_instancesMirror->answeringSince(), m_clock())) {
             applyInstances();
@@ -208,15 +223,25 @@
 void MeshCore::enter(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route)
 {
     const RouteTarget &target = m_split.next(route);
+    const Run *parent = incoming.parent.isEmpty() ? nullptr : m_executor->findRun(incoming.parent);
+    const Entered entered{exchange,
+                          incoming.request,
+                          &route,
+                          m_routes,
+                          target.operation,
+                          m_clock(),
+                          incoming.patience.value_or(defaultPatience),
+                          parent != nullptr ? parent->id : RunId()};
+    if (parent == nullptr && isRefusedAtEntry(entered, hasReturned(incoming, route))) {
+        return;
+    }
     m_repeats.recordRequest(target.service);
-    Payload payload;
-    payload.head = incoming.head;
-    payload.body = std::make_shared<const std::string>(exchange->takeBody());
-    const Entered entered{exchange, incoming.request, &route, m_routes, target.operation, m_clock()};
+    OutboundCall outbound = outboundFor(incoming, route, target, parent);
+    outbound.payload.head = incoming.head;
+    outbound.payload.body = std::make_shared<const std::string>(exchange->takeBody());
     // A call may end before its number is known here; the caller's leaving then finds nothing to cancel.
     const auto call = std::make_shared<CallId>();
-    *call = m_router->call(outboundFor(incoming, route, target, std::move(payload)),
-                           [this, entered](const CallResult &result) { ended(entered, result); });
+    *call = m_router->call(std::move(outbound), [this, entered](const CallResult &result) { ended(entered, result); });
     exchange->onDisconnect([this, call, request = incoming.request] {
         ++m_counters.left;
         m_log.debug({"the caller has gone", ResultCode::CancelledWhileRunning, request, {}});
@@ -224,7 +249,32 @@
     });
 }
 
-OutboundCall MeshCore::outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, Payload payload) const
+//! A caller that was told when to come back has less time left than the others of its route.
+bool MeshCore::hasReturned(const IncomingCall &incoming, const Route &route)
+{
+    if (!incoming.patience) {
+        return false;
+    }
+    Duration &full = m_fullPatience[route.name];
+    full = std::max(full, *incoming.patience);
+    return *incoming.patience < full - patienceSlack;
+}
+
+bool MeshCore::isRefusedAtEntry(const Entered &entered, bool hasReturned)
+{
+    const EntryAdmission::Request request{entered.operation, entered.route->priority, hashFraction(entered.request.value()), hasReturned};
+    const auto service = m_admission.refusedBy(request, m_clock());
+    if (!service) {
+        return false;
+    }
+    ++m_counters.overloaded;
+    CallResult result;
+    result.code = ResultCode::Overloaded;
+    ended(entered, result);
+    return true;
+}
+
+OutboundCall MeshCore::outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, const Run *parent) const
 {
     OutboundCall call;
     call.context.request = incoming.request;
@@ -232,7 +282,12 @@
     call.context.idempotent = route.idempotent;
     call.context.rank = worthOf(route).value() + hashFraction(incoming.request.value());
     call.deadline = m_clock() + std::min(incoming.patience.value_or(defaultPatience), route.timeout);
-    call.payload = std::move(payload);
+    if (parent != nullptr) {
+        // A request ranks the same in all queues of its tree; the deeper calls go first, as more has been spent on them.
+        call.context.rank = parent->call.context.rank;
+        call.context.depth = parent->call.context.depth + 1;
+        call.deadline = std::min(call.deadline, parent->deadline);
+    }
     call.allowance = std::make_shared<Allowance>(std::max(0, route.attempts - 1));
     call.freeMoves = true;
     call.lendsAllowance = false;
@@ -243,6 +298,11 @@
 {
     const Outcome outcome = outcomeOf(result.code);
     ++(outcome == Outcome::Done ? m_counters.served : outcome == Outcome::NotRun ? m_counters.refused : m_counters.failed);
+    if (entered.parent != RunId()) {
+        m_executor->addCosts(entered.parent, result.costs);
+    } else if (result.code == ResultCode::Done) {
+        m_admission.recordCosts(entered.operation, entered.route->priority, result.costs);
+    }
     if (outcome != Outcome::Done) {
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock() - entered.arrived);
         m_log.info({outcome == Outcome::NotRun ? "request refused" : "request failed",
@@ -256,14 +316,18 @@
     entered.exchange->respond(m_dialect.response(entered.request, result, comeBackAfter(entered, result)));
 }
 
-std::optional<Duration> MeshCore::comeBackAfter(const Entered & /*entered*/, const CallResult &result)
+//! Spread over the time in which an answer is still worth its whole, within the third of its time that a caller waits.
+std::optional<Duration> MeshCore::comeBackAfter(const Entered &entered, const CallResult &result)
 {
     if (outcomeOf(result.code) != Outcome::NotRun) {
         return std::nullopt;
     }
-    constexpr double soonest = 0.1;
-    constexpr double spread = 0.5;
-    return fromSeconds(soonest + spread * uniformFraction(m_random));
+    const Duration objective = entered.route != nullptr ? entered.route->objective : defaultObjective;
+    Duration longest = objective / returnDivisor;
+    if (entered.patience > Duration::zero()) {
+        longest = std::min(longest, entered.patience / longestWaitDivisor);
+    }
+    return fromSeconds(toSeconds(longest) * (earliestReturn + (1 - earliestReturn) * uniformFraction(m_random)));
 }
 
 void MeshCore::refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail)
@@ -335,10 +399,25 @@
     }
 }
 
+void MeshCore::publishPressure()
+{
+    const double pressure = m_executor->pressure();
+    const TimePoint now = m_clock();
+    m_admission.setPressure(m_settings.service, m_settings.instance, pressure, now);
+    const bool hasMoved = std::abs(pressure - m_publishedPressure) >= pressureStep || (pressure == 0) != (m_publishedPressure == 0);
+    const bool isDue = pressure > 0 && now - m_pressurePublishedAt >= pressureInterval;
+    if (hasMoved || isDue) {
+        m_publishedPressure = pressure;
+        m_pressurePublishedAt = now;
+        m_links->broadcastStatus();
+    }
+}
+
 //! Peers tell each other what they have read; who is behind asks for it.
 void MeshCore::exchangeDocuments(const PeerEvent &event)
 {
     if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
+        takePressure(event.instance, status->pressure);
         if (m_configurationMirror->isBehind(status->configuration)) {
             m_links->reply(event.connection, ConfigurationRequest{m_configurationMirror->lastChange(), {}});
         }
@@ -356,6 +435,14 @@
     }
 }
 
+void MeshCore::takePressure(const InstanceId &instance, double pressure)
+{
+    const auto known = std::find_if(m_instances.begin(), m_instances.end(), [&instance](const auto &i) { return i.instance == instance; });
+    if (known != m_instances.end()) {
+        m_admission.setPressure(known->service, instance, pressure, m_clock());
+    }
+}
+
 void MeshCore::configurationChanged()
 {
     for (const auto &[key, item] : m_configurationMirror->items()) {
@@ -402,6 +489,11 @@
 {
     m_instances = m_directory.instances();
     m_repeats.setNodes(m_instances.size());
+    std::set<InstanceId> known;
+    for (const PublishedInstance &instance : m_instances) {
+        known.insert(instance.instance);
+    }
+    m_admission.retain(known);
     const auto own =
         std::find_if(m_instances.begin(), m_instances.end(), [this](const auto &i) { return i.instance == m_settings.instance; });
     const std::optional<PublishedInstance> before = m_ownBackend;
@@ -487,6 +579,7 @@
     status.incarnation = m_executor->incarnation();
     status.configuration = m_configurationMirror->lastChange();
     status.instances = m_instancesMirror->lastChange();
+    status.pressure = m_executor->pressure();
     return status;
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
 #include <chervilpaddle/controllers/prefixmirror.h>
 #include <chervilpaddle/controllers/repeatbudget.h>
@@ -22,6 +23,7 @@
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     std::uint64_t left = 0;
+    std::uint64_t overloaded = 0;
     std::uint64_t unreadableEntries = 0;
 };
 
@@ -63,6 +65,9 @@
         std::shared_ptr<const RouteTable> table;
         OperationName operation;
         TimePoint arrived;
+        Duration patience{};
+        //! The run whose backend server made the request; zero for a caller's.
+        RunId parent;
     };
 
     void makeControllers();
@@ -74,7 +79,11 @@
     void repeatEvery(Duration period, std::function<void()> action);
 
     void enter(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route);
-    OutboundCall outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, Payload payload) const;
+    OutboundCall outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, const Run *parent) const;
+    bool isRefusedAtEntry(const Entered &entered, bool hasReturned);
+    bool hasReturned(const IncomingCall &incoming, const Route &route);
+    void publishPressure();
+    void takePressure(const InstanceId &instance, double pressure);
     void ended(const Entered &entered, const CallResult &result);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail);
     std::optional<Duration> comeBackAfter(const Entered &entered, const CallResult &result);
@@ -107,6 +116,11 @@
     std::optional<PublishedInstance> m_ownBackend;
     TrafficSplit m_split;
     RepeatBudget m_repeats;
+    EntryAdmission m_admission;
+    //! The longest patience of a route's callers: who has less has waited before.
+    std::unordered_map<RouteName, Duration> m_fullPatience;
+    double m_publishedPressure = 0;
+    TimePoint m_pressurePublishedAt;
     MeshBackend m_backend;
     HttpClient m_storeClient;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -296,6 +296,19 @@
     return m;
 }
 
+std::vector<ServiceCost> decodeCosts(const json &value)
+{
+    constexpr std::size_t mostCosts = 64;
+    if (value.size() > mostCosts) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
+    std::vector<ServiceCost> costs;
+    for (const json &cost : value) {
+        costs.push_back({ServiceName(cost.at(0).get<std::string>()), std::max(0.0, realOf(cost.at(1)))});
+    }
+    return costs;
+}
+
 json encode(const AnswerMessage &m)
 {
     json v = {{"kind", "answer"},
@@ -304,6 +317,9 @@
               {"allowance", m.allowance},
               {"price", m.price},
               {"load", m.load}};
+    for (const ServiceCost &cost : m.costs) {
+        v["costs"].push_back({cost.service.value(), cost.seconds});
+    }
     encodePayload(v, m.payload);
     return v;
 }
@@ -322,6 +338,9 @@
     m.allowance = decodeAllowance(v);
     m.price = realOf(v.at("price"));
     m.load = v.contains("load") ? realOf(v.at("load")) : 0;
+    if (const auto costs = v.find("costs"); costs != v.end()) {
+        m.costs = decodeCosts(*costs);
+    }
     m.payload = decodePayload(v);
     return m;
 }
@@ -343,7 +362,8 @@
             {"drainSeen", m.drainSeen},
             {"incarnation", m.incarnation.value()},
             {"configuration", m.configuration.value()},
-            {"instances", m.instances.value()}};
+            {"instances", m.instances.value()},
+            {"pressure", m.pressure}};
 }
 
 StatusMessage decodeStatus(const json &v)
@@ -354,6 +374,7 @@
     m.incarnation = Incarnation(unsignedOf(v.at("incarnation")));
     m.configuration = Revision(unsignedOf(v.at("configuration")));
     m.instances = Revision(unsignedOf(v.at("instances")));
+    m.pressure = v.contains("pressure") ? realOf(v.at("pressure")) : 0;
     return m;
 }
 
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -93,6 +93,13 @@
     Payload payload;
 };
 
+//! How long a call and the calls below it held slots of a service.
+struct ServiceCost
+{
+    ServiceName service;
+    double seconds = 0;
+};
+
 struct AnswerMessage
 {
     TicketId ticket;
@@ -103,6 +110,8 @@
     Rank price = 0;
     //! Calls running and queued at the executor for each of its slots.
     double load = 0;
+    //! What the call's whole tree has held, where it has run.
+    std::vector<ServiceCost> costs;
     Payload payload;
 };
 
@@ -144,6 +153,8 @@
     //! What the sender holds.
     Revision configuration;
     Revision instances;
+    //! How much of its callers' work the sender's backend server must be spared; see PressureController.
+    double pressure = 0;
 };
 
 //! Asks for a newer configuration; names the contracts already held, so that only changed ones are sent.
