Clear what is offered against the slots, least worth first, in place of a PI controller; bound what refusals do to the slot limit

Change: ClearingRank estimates the offered slot time by worth and clears it against the slots; the slot limit shrinks once a round; a new node begins with half of the slots.

--- a/src/chervilpaddle/controllers/entryadmission.h
+++ b/src/chervilpaddle/controllers/entryadmission.h
@@ -14,8 +14,8 @@
 
 //! Decides at the entry whether a request's whole call tree has room. Answers the load in which one service deep in
 //! the tree is over its capacity while the others are half idle: a call refused there would waste its parents, so the
-//! least urgent requests that lead to it are refused before anything was spent on them. What a request's tree holds at
-//! which service is learnt from answers. Nodes hear the same pressures and so come to like decisions without talking.
+//! least urgent requests that lead to it are refused before anything was spent on them. Which services a request's
+//! tree holds is learnt from answers. All nodes hear the same clearing ranks and so decide alike without talking.
 //! Not thread safe.
 class EntryAdmission
 {
@@ -23,49 +23,38 @@
     struct Request
     {
         OperationName operation;
-        //! Zero is the most urgent.
-        int priority = 0;
-        //! Uniform in [0, 1) over requests.
-        double fraction = 0;
+        //! Worth and the request's own fraction, as in all queues of its tree.
+        Rank rank = 0;
         //! The caller has been refused before and has waited as told.
         bool hasReturned = false;
     };
 
     //! Takes the time that one request's tree held a slot of each service.
-    void recordCosts(const OperationName &operation, int priority, const std::vector<ServiceCost> &costs);
-    //! Takes what an instance says of its pressure.
-    void setPressure(const ServiceName &service, const InstanceId &instance, double pressure, TimePoint now);
+    void recordCosts(const OperationName &operation, int worth, const std::vector<ServiceCost> &costs);
+    //! Takes what an instance says of the requests that it must be spared.
+    void setClearing(const ServiceName &service, const InstanceId &instance, Rank clearing, TimePoint now);
     //! Forgets instances that are not in the set.
     void retain(const std::set<InstanceId> &instances);
 
-    //! Whether there is room for the request; the service that has none otherwise.
+    //! The service that has no room for the request; nothing where it is admitted.
     std::optional<ServiceName> refusedBy(const Request &request, TimePoint now) const;
-    //! The part of such requests that is admitted, in [0, 1].
-    double admittedShare(const OperationName &operation, int priority, TimePoint now) const;
-
-    //! The mean pressure of a service's instances.
-    double pressure(const ServiceName &service, TimePoint now) const;
+    //! The clearing rank of a service, over its instances; zero where there is room for all.
+    Rank clearing(const ServiceName &service, TimePoint now) const;
     //! Seconds that one request of the operation holds slots of the service, over its whole tree.
     double cost(const OperationName &operation, const ServiceName &service) const;
 
 private:
-    struct Tree
-    {
-        int priority = 0;
-        std::map<ServiceName, double> seconds;
-    };
     struct Report
     {
-        double pressure = 0;
+        Rank clearing = 0;
         TimePoint updated;
     };
+    using Costs = std::map<ServiceName, double>;
 
-    double admittedShareAt(const ServiceName &service, int priority, TimePoint now) const;
-
-    std::unordered_map<OperationName, Tree> m_trees;
+    std::unordered_map<OperationName, Costs> m_costs;
     std::map<ServiceName, std::map<InstanceId, Report>> m_reports;
-    //! By service, the priorities of the requests that lead to it.
-    std::map<ServiceName, std::set<int>> m_classes;
+    //! By service, the least worth of the requests that lead to it.
+    std::map<ServiceName, int> m_leastWorth;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -94,6 +94,7 @@
         return;
     }
     m_priceController.recordArrival(call.context.rank);
+    m_windowArrived[static_cast<int>(call.context.rank)] += expectedHold(call.context.operation);
     m_meanSlack += slackSmoothing * (toSeconds(deadline - now) - m_meanSlack);
     Waiting &waiting = m_waiting[call.ticket.id];
     waiting.call = call;
@@ -355,7 +356,9 @@
     noteOccupancy();
     const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * m_slots.limit());
     const double rate = startsPerSecond();
-    m_pressure.update(occupancy, rate > 0 ? fromSeconds(static_cast<double>(m_queue.size()) / rate) : Duration::zero(), length);
+    ClearingRank::Window clearing{std::exchange(m_windowArrived, {}), 0, m_slots.limit(), length};
+    clearing.waiting = static_cast<double>(m_queue.size()) * toSeconds(m_serviceTimes.mean());
+    m_clearing.update(clearing);
     LoadWindow window;
     window.shortestWait = rate > 0 ? fromSeconds(static_cast<double>(m_shortestQueue) / rate) : Duration::zero();
     window.waitTarget = std::max<Duration>(m_serviceTimes.mean() / standingQueueDivisor, fromSeconds(m_meanSlack * standingSlackShare));
@@ -376,6 +379,11 @@
     m_slots.markCold();
 }
 
+void Executor::beginCautiously()
+{
+    m_slots.beginCautiously();
+}
+
 void Executor::setSlots(int slots)
 {
     m_slots.setSlots(slots);
@@ -406,9 +414,9 @@
     }
 }
 
-double Executor::pressure() const
+Rank Executor::clearingRank() const
 {
-    return m_pressure.pressure();
+    return m_clearing.rank();
 }
 
 void Executor::recordChildPrice(const OperationName &operation, const OperationName &child, Rank price)
@@ -522,6 +530,12 @@
     return now < call.deadline && now + m_serviceTimes.leastExpected(call.operation, now) <= call.deadline;
 }
 
+//! How long a call will hold its slot, in seconds; an operation that has not run yet counts like the others.
+double Executor::expectedHold(const OperationName &operation) const
+{
+    return toSeconds(m_serviceTimes.expected(operation).value_or(m_serviceTimes.mean()));
+}
+
 double Executor::startsPerSecond() const
 {
     const double mean = toSeconds(m_serviceTimes.mean());
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -3,7 +3,7 @@
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/allowance.h>
 #include <chervilpaddle/controllers/policyswitches.h>
-#include <chervilpaddle/controllers/pressurecontroller.h>
+#include <chervilpaddle/controllers/clearingrank.h>
 #include <chervilpaddle/controllers/pricecontroller.h>
 #include <chervilpaddle/controllers/servicetimes.h>
 #include <chervilpaddle/controllers/slotlimit.h>
@@ -89,6 +89,8 @@
     void tick();
     //! The backend server beside this node has been replaced or has just come up.
     void backendRestarted();
+    //! Calls of a process that was here before this one may still run at the backend server.
+    void beginCautiously();
     void setSlots(int slots);
 
     //! A run in progress, or null.
@@ -97,8 +99,8 @@
     const Run *findRun(const RequestId &request) const;
     //! Adds what a call of a run's backend server has held.
     void addCosts(RunId run, const std::vector<ServiceCost> &costs);
-    //! How much of its callers' work the backend server must be spared.
-    double pressure() const;
+    //! The requests that must be refused at the entries; see ClearingRank.
+    Rank clearingRank() const;
     //! Notes the price of an operation that `operation` calls.
     void recordChildPrice(const OperationName &operation, const OperationName &child, Rank price);
     //! The lowest rank that an operation's tree admits now.
@@ -155,6 +157,7 @@
     AnswerMessage answerFor(const CallMessage &call, ResultCode code, int allowance) const;
     bool canFinish(const QueuedCall &call, TimePoint now) const;
     double startsPerSecond() const;
+    double expectedHold(const OperationName &operation) const;
 
     Options m_options;
     Hooks m_hooks;
@@ -162,7 +165,9 @@
     AdmissionQueue m_queue;
     ServiceTimes m_serviceTimes;
     PriceController m_priceController;
-    PressureController m_pressure;
+    ClearingRank m_clearing;
+    //! Slot time of the calls that arrived in the window, by worth.
+    std::map<int, double> m_windowArrived;
     SlotLimit m_slots;
     ExecutorCounters m_counters;
     std::unordered_map<TicketId, Waiting> m_waiting;
--- a/src/chervilpaddle/controllers/servicetimes.cpp
+++ b/src/chervilpaddle/controllers/servicetimes.cpp
@@ -45,6 +45,12 @@
     return fromSeconds(std::max(0.0, found->second.mean - found->second.deviation));
 }
 
+std::optional<Duration> ServiceTimes::expected(const OperationName &operation) const
+{
+    const auto found = m_estimates.find(operation);
+    return found == m_estimates.end() ? std::nullopt : std::optional<Duration>(fromSeconds(found->second.mean));
+}
+
 Duration ServiceTimes::mean() const
 {
     return fromSeconds(m_overallMean);
--- a/src/chervilpaddle/controllers/servicetimes.h
+++ b/src/chervilpaddle/controllers/servicetimes.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 
+#include <optional>
 #include <unordered_map>
 
 namespace chervilpaddle {
@@ -18,6 +19,8 @@
     //! The time that a call of the operation surely takes: mean less deviation; zero where nothing fresh is known.
     Duration leastExpected(const OperationName &operation, TimePoint now) const;
 
+    //! The mean of an operation, however old; nothing where it has not run.
+    std::optional<Duration> expected(const OperationName &operation) const;
     //! Mean over all operations, weighted by how often each ran lately; zero where nothing is known.
     Duration mean() const;
 
--- a/src/chervilpaddle/controllers/slotlimit.cpp
+++ b/src/chervilpaddle/controllers/slotlimit.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr double coldShare = 0.1;
 constexpr double refusalFactor = 0.9;
+constexpr double cautiousShare = 0.5;
 } // namespace
 
 SlotLimit::SlotLimit(int slots)
@@ -41,11 +42,29 @@
 void SlotLimit::recordSuccess()
 {
     m_limit = std::min(static_cast<double>(m_slots), m_limit + 1);
+    ++m_answersInRound;
+    endRoundIfDue();
 }
 
 void SlotLimit::recordRefusal()
 {
-    m_limit = std::max(1.0, m_limit * refusalFactor);
+    if (m_refusalsInRound++ == 0) {
+        m_limit = std::max(1.0, m_limit * refusalFactor);
+    }
+    endRoundIfDue();
+}
+
+void SlotLimit::beginCautiously()
+{
+    m_limit = std::max(1.0, m_slots * cautiousShare);
+}
+
+void SlotLimit::endRoundIfDue()
+{
+    if (m_refusalsInRound + m_answersInRound >= limit()) {
+        m_refusalsInRound = 0;
+        m_answersInRound = 0;
+    }
 }
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/slotlimit.h
+++ b/src/chervilpaddle/controllers/slotlimit.h
@@ -16,14 +16,21 @@
     void setSlots(int slots);
     //! The backend server has just started, or failed to take connections: begin with few slots.
     void markCold();
+    //! Calls of a node that was here before may still hold slots: begin with half of them.
+    void beginCautiously();
     //! One call was answered; while cold, each opens room for another, which doubles the limit every round.
     void recordSuccess();
-    //! The backend server refused a call though the limit allowed it.
+    //! The backend server refused a call though the limit allowed it. Counts once a round of as many calls as the limit
+    //! has slots: a backend server that refuses at random, however empty it is, is not closed for it.
     void recordRefusal();
 
 private:
+    void endRoundIfDue();
+
     int m_slots;
     double m_limit;
+    int m_refusalsInRound = 0;
+    int m_answersInRound = 0;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -33,10 +33,10 @@
 constexpr int returnDivisor = 2;
 constexpr int longestWaitDivisor = 3;
 constexpr double earliestReturn = 0.3;
-//! The pressure is told to all when it has moved by this much, and as long as there is any, this often.
-constexpr double pressureStep = 0.02;
-constexpr Duration pressureInterval = std::chrono::milliseconds(500);
-constexpr Duration pressureTick = std::chrono::milliseconds(100);
+//! The clearing rank is told to all when it has moved by this much, and as long as there is one, this often.
+constexpr double clearingStep = 0.03;
+constexpr Duration clearingInterval = std::chrono::milliseconds(500);
+constexpr Duration clearingTick = std::chrono::milliseconds(100);
 constexpr std::size_t largestStoreAnswer = 4 * mebibyte;
 
 void scheduleOn(boost::asio::io_context &context, Duration delay, std::function<void()> action)
@@ -90,8 +90,7 @@
     policy.price = false;
     m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, slotsBeforeList, policy, tickets},
                                             executorHooks());
-    // Runs of a node that was here before may still hold slots.
-    m_executor->backendRestarted();
+    m_executor->beginCautiously();
     m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, policy, m_random()}, routerHooks());
     // Until the platform's list names the backend server beside this node, nothing is sent to it.
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true, {}};
@@ -111,7 +110,7 @@
     m_instancesMirror->start();
     repeatEvery(executorTick, [this] { m_executor->tick(); });
     repeatEvery(linkTick, [this] { m_links->tick(); });
-    repeatEvery(pressureTick, [this] { publishPressure(); });
+    repeatEvery(clearingTick, [this] { publishClearing(); });
     repeatEvery(directoryTick, [this] {
         if (m_directory.expire(m_instancesMirror->answeringSince(), m_clock())) {
             applyInstances();
@@ -229,6 +228,7 @@
                           &route,
                           m_routes,
                           target.operation,
+                          worthOf(route).value() + hashFraction(incoming.request.value()),
                           m_clock(),
                           incoming.patience.value_or(defaultPatience),
                           parent != nullptr ? parent->id : RunId()};
@@ -262,7 +262,7 @@
 
 bool MeshCore::isRefusedAtEntry(const Entered &entered, bool hasReturned)
 {
-    const EntryAdmission::Request request{entered.operation, entered.route->priority, hashFraction(entered.request.value()), hasReturned};
+    const EntryAdmission::Request request{entered.operation, entered.rank, hasReturned};
     const auto service = m_admission.refusedBy(request, m_clock());
     if (!service) {
         return false;
@@ -301,7 +301,7 @@
     if (entered.parent != RunId()) {
         m_executor->addCosts(entered.parent, result.costs);
     } else if (result.code == ResultCode::Done) {
-        m_admission.recordCosts(entered.operation, entered.route->priority, result.costs);
+        m_admission.recordCosts(entered.operation, worthOf(*entered.route).value(), result.costs);
     }
     if (outcome != Outcome::Done) {
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock() - entered.arrived);
@@ -399,16 +399,22 @@
     }
 }
 
-void MeshCore::publishPressure()
+void MeshCore::publishClearing()
 {
-    const double pressure = m_executor->pressure();
+    const Rank clearing = m_executor->clearingRank();
     const TimePoint now = m_clock();
-    m_admission.setPressure(m_settings.service, m_settings.instance, pressure, now);
-    const bool hasMoved = std::abs(pressure - m_publishedPressure) >= pressureStep || (pressure == 0) != (m_publishedPressure == 0);
-    const bool isDue = pressure > 0 && now - m_pressurePublishedAt >= pressureInterval;
+    m_admission.setClearing(m_settings.service, m_settings.instance, clearing, now);
+    const bool hasMoved = std::abs(clearing - m_publishedClearing) >= clearingStep;
+    const bool isDue = clearing > 0 && now - m_clearingPublishedAt >= clearingInterval;
     if (hasMoved || isDue) {
-        m_publishedPressure = pressure;
-        m_pressurePublishedAt = now;
+        m_log.info({"clearing rank published",
+                    ResultCode::Success,
+                    {},
+                    std::to_string(clearing) + ", before " + std::to_string(m_publishedClearing) + ", running "
+                        + std::to_string(m_executor->running()) + " of " + std::to_string(m_executor->slotLimit()) + ", queued "
+                        + std::to_string(m_executor->queued())});
+        m_publishedClearing = clearing;
+        m_clearingPublishedAt = now;
         m_links->broadcastStatus();
     }
 }
@@ -417,7 +423,7 @@
 void MeshCore::exchangeDocuments(const PeerEvent &event)
 {
     if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
-        takePressure(event.instance, status->pressure);
+        takeClearing(event.instance, status->clearing);
         if (m_configurationMirror->isBehind(status->configuration)) {
             m_links->reply(event.connection, ConfigurationRequest{m_configurationMirror->lastChange(), {}});
         }
@@ -435,11 +441,11 @@
     }
 }
 
-void MeshCore::takePressure(const InstanceId &instance, double pressure)
+void MeshCore::takeClearing(const InstanceId &instance, Rank clearing)
 {
     const auto known = std::find_if(m_instances.begin(), m_instances.end(), [&instance](const auto &i) { return i.instance == instance; });
     if (known != m_instances.end()) {
-        m_admission.setPressure(known->service, instance, pressure, m_clock());
+        m_admission.setClearing(known->service, instance, clearing, m_clock());
     }
 }
 
@@ -502,7 +508,6 @@
         m_executor->setSlots(m_ownBackend->slots);
         if (!before || before->backend != m_ownBackend->backend) {
             m_log.info({"backend server is listed", ResultCode::Success, {}, m_ownBackend->backend.value()});
-            m_executor->backendRestarted();
         }
     }
     std::vector<PublishedInstance> wanted;
@@ -579,7 +584,7 @@
     status.incarnation = m_executor->incarnation();
     status.configuration = m_configurationMirror->lastChange();
     status.instances = m_instancesMirror->lastChange();
-    status.pressure = m_executor->pressure();
+    status.clearing = m_executor->clearingRank();
     return status;
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -64,6 +64,7 @@
         const Route *route = nullptr;
         std::shared_ptr<const RouteTable> table;
         OperationName operation;
+        Rank rank = 0;
         TimePoint arrived;
         Duration patience{};
         //! The run whose backend server made the request; zero for a caller's.
@@ -82,8 +83,8 @@
     OutboundCall outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, const Run *parent) const;
     bool isRefusedAtEntry(const Entered &entered, bool hasReturned);
     bool hasReturned(const IncomingCall &incoming, const Route &route);
-    void publishPressure();
-    void takePressure(const InstanceId &instance, double pressure);
+    void publishClearing();
+    void takeClearing(const InstanceId &instance, Rank clearing);
     void ended(const Entered &entered, const CallResult &result);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail);
     std::optional<Duration> comeBackAfter(const Entered &entered, const CallResult &result);
@@ -119,8 +120,8 @@
     EntryAdmission m_admission;
     //! The longest patience of a route's callers: who has less has waited before.
     std::unordered_map<RouteName, Duration> m_fullPatience;
-    double m_publishedPressure = 0;
-    TimePoint m_pressurePublishedAt;
+    Rank m_publishedClearing = 0;
+    TimePoint m_clearingPublishedAt;
     MeshBackend m_backend;
     HttpClient m_storeClient;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -363,7 +363,7 @@
             {"incarnation", m.incarnation.value()},
             {"configuration", m.configuration.value()},
             {"instances", m.instances.value()},
-            {"pressure", m.pressure}};
+            {"clearing", m.clearing}};
 }
 
 StatusMessage decodeStatus(const json &v)
@@ -374,7 +374,7 @@
     m.incarnation = Incarnation(unsignedOf(v.at("incarnation")));
     m.configuration = Revision(unsignedOf(v.at("configuration")));
     m.instances = Revision(unsignedOf(v.at("instances")));
-    m.pressure = v.contains("pressure") ? realOf(v.at("pressure")) : 0;
+    m.clearing = v.contains("clearing") ? realOf(v.at("clearing")) : 0;
     return m;
 }
 
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -153,8 +153,8 @@
     //! What the sender holds.
     Revision configuration;
     Revision instances;
-    //! How much of its callers' work the sender's backend server must be spared; see PressureController.
-    double pressure = 0;
+    //! The requests that must be refused at the entries to spare the sender's backend server; see ClearingRank.
+    Rank clearing = 0;
 };
 
 //! Asks for a newer configuration; names the contracts already held, so that only changed ones are sent.
