Prefer returning callers only while there is room; let less of a class through under the highest pressure

Cause: rings stood at the highest clearing rank for 18 s with 110 calls queued: of those refused once nearly two thirds were let in on their return, so that no refusal was enough and everything waited (the same with retry_abuse). Ruled out: arrivals of calls that no entry had admitted; all were calls of admitted trees. Change: the preference fades as the refused share grows; a tenth of a class passes at the least instead of a fifth; the slot limit keeps its share when the list names the slots (it began at 12 of 127).

--- a/src/chervilpaddle/controllers/clearingrank.h
+++ b/src/chervilpaddle/controllers/clearingrank.h
@@ -10,7 +10,7 @@
 
 //! The part of a class that is let through however scarce the room is, so that no class is starved and its costs
 //! stay known.
-constexpr double leastAdmittedShare = 0.2;
+constexpr double leastAdmittedShare = 0.1;
 
 //! The part of the requests of a worth that is admitted under a clearing rank, in [leastAdmittedShare, 1].
 double admittedShare(Rank clearing, int worth);
--- a/src/chervilpaddle/controllers/entryadmission.cpp
+++ b/src/chervilpaddle/controllers/entryadmission.cpp
@@ -13,7 +13,8 @@
 constexpr double costSmoothing = 0.1;
 //! Below this a request does not count as leading to a service.
 constexpr double leastCost = 0.001;
-//! Who has waited as told is refused this much more rarely: a second refusal is the worst answer.
+//! While there is some room, who has waited as told is refused this much more rarely: a second refusal is the worst
+//! answer. Where there is none, the preference would let in all who were refused once.
 constexpr double returnedFactor = 0.5;
 //! An instance that has not been heard of for this long says nothing of the present.
 constexpr Duration reportLifetime = std::chrono::milliseconds(1500);
@@ -65,7 +66,8 @@
             continue;
         }
         const double refused = 1 - admittedShare(clearing(service, now), static_cast<int>(worth));
-        if (fraction < refused * (request.hasReturned ? returnedFactor : 1)) {
+        const double returnedShare = returnedFactor + (1 - returnedFactor) * refused / (1 - leastAdmittedShare);
+        if (fraction < refused * (request.hasReturned ? returnedShare : 1)) {
             return service;
         }
     }
--- a/src/chervilpaddle/controllers/slotlimit.cpp
+++ b/src/chervilpaddle/controllers/slotlimit.cpp
@@ -29,9 +29,9 @@
 
 void SlotLimit::setSlots(int slots)
 {
-    const bool wasFull = m_limit >= m_slots;
+    const double openShare = m_limit / m_slots;
     m_slots = std::max(1, slots);
-    m_limit = wasFull ? m_slots : std::min(m_limit, static_cast<double>(m_slots));
+    m_limit = std::max(1.0, m_slots * openShare);
 }
 
 void SlotLimit::markCold()
