--- a/src/chervilpaddle/controllers/clearingrank.cpp
+++ b/src/chervilpaddle/controllers/clearingrank.cpp
@@ -28,6 +28,10 @@
 
 void ClearingRank::update(const Window &window)
 {
+    m_recent.push_back(window.inForce);
+    if (m_recent.size() > windowsRemembered) {
+        m_recent.pop_front();
+    }
     const double seconds = toSeconds(window.length);
     for (const auto &[worth, held] : window.arrived) {
         m_offered.try_emplace(worth, 0);
@@ -54,10 +58,6 @@
         m_rank = worth + std::min(1.0, excess / refusable);
         excess -= refusable;
     }
-    m_recent.push_back(m_rank);
-    if (m_recent.size() > windowsRemembered) {
-        m_recent.pop_front();
-    }
 }
 
 Rank ClearingRank::rank() const
--- a/src/chervilpaddle/controllers/clearingrank.h
+++ b/src/chervilpaddle/controllers/clearingrank.h
@@ -30,6 +30,8 @@
         double waiting = 0;
         int slots = 1;
         Duration length{};
+        //! The rank by which the entries decide now: that of all instances of the service.
+        Rank inForce = 0;
     };
 
     //! Takes what was seen since the last call.
@@ -43,7 +45,7 @@
 
     //! Slots that calls of a worth would hold if none were refused.
     std::map<int, double> m_offered;
-    //! The ranks of the last windows: what arrives now was admitted under them.
+    //! The ranks in force in the last windows: what arrives now was admitted under them.
     std::deque<Rank> m_recent;
     Rank m_rank = 0;
 };
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -356,7 +356,8 @@
     noteOccupancy();
     const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * m_slots.limit());
     const double rate = startsPerSecond();
-    ClearingRank::Window clearing{std::exchange(m_windowArrived, {}), 0, m_slots.limit(), length};
+    ClearingRank::Window clearing{std::exchange(m_windowArrived, {}), 0, m_slots.limit(), length, 0};
+    clearing.inForce = m_hooks.clearingInForce ? m_hooks.clearingInForce() : m_clearing.rank();
     clearing.waiting = static_cast<double>(m_queue.size()) * toSeconds(m_serviceTimes.mean());
     m_clearing.update(clearing);
     LoadWindow window;
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -61,6 +61,8 @@
         std::function<void(const Run &)> start;
         //! Asks for an end to a run and to its outbound calls; `finished` is still called.
         std::function<void(RunId)> cancelRun;
+        //! The clearing rank by which the entries decide; not set: this executor's own.
+        std::function<Rank()> clearingInForce = nullptr;
     };
     struct Options
     {
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -146,7 +146,10 @@
 
 Executor::Hooks MeshCore::executorHooks()
 {
-    return {m_clock, [this](const Run &run) { m_backend.start(run); }, [this](RunId run) { m_backend.cancel(run); }};
+    return {m_clock,
+            [this](const Run &run) { m_backend.start(run); },
+            [this](RunId run) { m_backend.cancel(run); },
+            [this] { return m_admission.clearing(m_settings.service, m_clock()); }};
 }
 
 Router::Hooks MeshCore::routerHooks()
