--- a/src/chervilpaddle/controllers/clearingrank.cpp
+++ b/src/chervilpaddle/controllers/clearingrank.cpp
@@ -9,14 +9,14 @@
 
 //! Of the slots; the rest takes up the unevenness of arrivals.
 constexpr double wantedOccupancy = 0.95;
-constexpr double leastWantedOccupancy = 0.5;
+constexpr double leastWantedOccupancy = 0.7;
 //! The time in which a standing queue is to be worked off; callers of inner calls can spare about as much.
 constexpr double queueHorizonSeconds = 0.5;
-constexpr double smoothing = 0.25;
+constexpr double smoothing = 0.15;
 //! A class of which less than this is offered, in slots, does not count.
 constexpr double negligible = 0.01;
-//! A request's calls arrive for some half a second after it was admitted.
-constexpr std::size_t windowsRemembered = 5;
+//! Windows of 50 ms: a request's calls arrive for some half a second after it was admitted.
+constexpr std::size_t windowsRemembered = 12;
 
 } // namespace
 
