--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -2,8 +2,8 @@
 
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/allowance.h>
-#include <chervilpaddle/controllers/policyswitches.h>
 #include <chervilpaddle/controllers/clearingrank.h>
+#include <chervilpaddle/controllers/policyswitches.h>
 #include <chervilpaddle/controllers/pricecontroller.h>
 #include <chervilpaddle/controllers/servicetimes.h>
 #include <chervilpaddle/controllers/slotlimit.h>
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -381,7 +381,8 @@
         for (const auto &[instance, peer] : m_peers) {
             if (peer.current && !peer.inDoubt) {
                 const bool draining = peer.draining || peer.published.leaving;
-                m_candidates[peer.published.service].push_back({instance, peer.incarnation, peer.published.dataCentre, draining, peer.published.backend});
+                m_candidates[peer.published.service].push_back(
+                    {instance, peer.incarnation, peer.published.dataCentre, draining, peer.published.backend});
             }
         }
     }
--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -186,7 +186,8 @@
         synced = Revision(parsed.at("synced").get<std::uint64_t>());
         lastChange = Revision(parsed.at("lastChange").get<std::uint64_t>());
         for (const auto &entry : parsed.at("items")) {
-            const StoreItem item{entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), Revision(entry.at(2).get<std::uint64_t>())};
+            const StoreItem item{
+                entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), Revision(entry.at(2).get<std::uint64_t>())};
             items[item.key] = item;
         }
     } catch (const nlohmann::json::exception &) {
--- a/src/chervilpaddle/controllers/trafficsplit.cpp
+++ b/src/chervilpaddle/controllers/trafficsplit.cpp
@@ -16,7 +16,8 @@
         return route.targets.front();
     }
     std::vector<double> weights;
-    std::transform(route.targets.begin(), route.targets.end(), std::back_inserter(weights), [](const auto &target) { return target.weight; });
+    std::transform(
+        route.targets.begin(), route.targets.end(), std::back_inserter(weights), [](const auto &target) { return target.weight; });
     Turns &turns = m_turns[route.name];
     if (turns.weights != weights) {
         turns.weights = std::move(weights);
--- a/src/chervilpaddle/mesh/meshbackend.cpp
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -27,8 +27,7 @@
 
 } // namespace
 
-MeshBackend::MeshBackend(
-    boost::asio::io_context &context, const Endpoint &address, const Dialect &dialect, Clock clock, Finished finished)
+MeshBackend::MeshBackend(boost::asio::io_context &context, const Endpoint &address, const Dialect &dialect, Clock clock, Finished finished)
     : m_dialect(dialect)
     , m_clock(std::move(clock))
     , m_finished(std::move(finished))
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -4,9 +4,9 @@
 #include <chervilpaddle/controllers/peerselection.h>
 
 #include <algorithm>
-#include <cmath>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cmath>
 
 namespace chervilpaddle {
 
@@ -75,7 +75,11 @@
     , m_routes(std::make_shared<const RouteTable>())
     , m_split(uniformFraction(m_random))
     , m_repeats(settings.repeats, m_clock)
-    , m_backend(context, settings.backend, dialect, m_clock, [this](RunId run, const BackendResult &result) { m_executor->finished(run, result); })
+    , m_backend(context,
+                settings.backend,
+                dialect,
+                m_clock,
+                [this](RunId run, const BackendResult &result) { m_executor->finished(run, result); })
     , m_storeClient(context, storeOptions(settings.platform))
 {
     makeControllers();
@@ -540,8 +544,7 @@
 
 void MeshCore::refreshSelf()
 {
-    const bool takesWork =
-        m_ownBackend && m_ownBackend->service == m_settings.service && !m_ownBackend->leaving && !m_stopping;
+    const bool takesWork = m_ownBackend && m_ownBackend->service == m_settings.service && !m_ownBackend->leaving && !m_stopping;
     const BackendId backend = m_ownBackend ? m_ownBackend->backend : BackendId();
     m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, !takesWork, backend});
 }
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -60,8 +60,10 @@
         , m_log(settings.instance, settings.logFormat, settings.logLevel)
         , m_core(m_context, settings, m_dialect, m_log)
         , m_callers({&m_context}, serverOptions(settings.callers, largestBodyBytes), [this](auto exchange) { m_core.handle(exchange); })
-        , m_readiness({&m_context}, serverOptions(settings.readiness, largestOperatorBody), [this](auto exchange) { handleReadiness(exchange); })
-        , m_operators({&m_context}, serverOptions(settings.operators, largestOperatorBody), [this](auto exchange) { handleOperator(exchange); })
+        , m_readiness(
+              {&m_context}, serverOptions(settings.readiness, largestOperatorBody), [this](auto exchange) { handleReadiness(exchange); })
+        , m_operators(
+              {&m_context}, serverOptions(settings.operators, largestOperatorBody), [this](auto exchange) { handleOperator(exchange); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
     {
@@ -72,7 +74,10 @@
         if (const std::error_code error = listenAll(); error) {
             return error;
         }
-        m_log.info({"node is up", ResultCode::Success, {}, "service " + m_settings.service.value() + ", callers at " + toText(m_settings.callers)});
+        m_log.info({"node is up",
+                    ResultCode::Success,
+                    {},
+                    "service " + m_settings.service.value() + ", callers at " + toText(m_settings.callers)});
         waitForSignal();
         m_context.run();
         m_log.info({"node is down", ResultCode::Success, {}, {}});
@@ -167,10 +172,11 @@
     void finishStop(bool isDone)
     {
         if (!isDone) {
-            m_log.warn({"stop gives up work in flight",
-                        ResultCode::ExecutorGone,
-                        {},
-                        std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
+            m_log.warn(
+                {"stop gives up work in flight",
+                 ResultCode::ExecutorGone,
+                 {},
+                 std::to_string(m_core.executor().running()) + " runs, " + std::to_string(m_core.router().outstanding()) + " calls"});
         }
         m_callers.stopAccepting();
         m_readiness.stopAccepting();
--- a/src/chervilpaddle/node/nodesettings.cpp
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -78,8 +78,9 @@
     static Key nameKey(std::function<void(const std::string &)> assign)
     {
         return {true, [assign = std::move(assign)](const std::string &value) -> std::optional<std::string> {
-                    const bool plain = std::all_of(
-                        value.begin(), value.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
+                    const bool plain = std::all_of(value.begin(), value.end(), [](unsigned char c) {
+                        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+                    });
                     if (value.empty() || !plain) {
                         return "a name of letters, digits, '-', '_' and '.'";
                     }
--- /dev/null
+++ b/tests/controllers/prefixmirror.cpp
@@ -0,0 +1,142 @@
+#include <chervilpaddle/controllers/prefixmirror.h>
+
+#include <criterion/criterion.h>
+#include <deque>
+
+using namespace chervilpaddle;
+
+namespace {
+
+//! A store that the test answers for, call by call.
+struct FakeStore
+{
+    struct Range
+    {
+        std::string afterKey;
+        std::function<void(const StorePage &)> reply;
+    };
+    struct Watch
+    {
+        Revision after;
+        std::function<void(const StoreChanges &)> reply;
+    };
+
+    TimePoint now;
+    std::deque<Range> ranges;
+    std::deque<Watch> watches;
+    std::deque<std::function<void()>> scheduled;
+    int changes = 0;
+    std::vector<bool> availability;
+    PrefixMirror mirror;
+
+    FakeStore()
+        : mirror("p/", hooks(), 1)
+    {
+    }
+
+    PrefixMirror::Hooks hooks()
+    {
+        PrefixMirror::Hooks hooks;
+        hooks.clock = [this] { return now; };
+        hooks.schedule = [this](Duration /*delay*/, std::function<void()> action) { scheduled.push_back(std::move(action)); };
+        hooks.reader.range = [this](const std::string & /*prefix*/, const std::string &afterKey, auto reply) {
+            ranges.push_back({afterKey, std::move(reply)});
+        };
+        hooks.reader.watch = [this](const std::string & /*prefix*/, Revision after, auto reply) {
+            watches.push_back({after, std::move(reply)});
+        };
+        hooks.changed = [this] { ++changes; };
+        hooks.availability = [this](bool isAnswering) { availability.push_back(isAnswering); };
+        return hooks;
+    }
+
+    void page(const std::vector<StoreItem> &items, std::uint64_t revision, bool hasMore = false)
+    {
+        const Range range = std::move(ranges.front());
+        ranges.pop_front();
+        range.reply({StoreStatus::Answered, items, hasMore, Revision(revision)});
+    }
+
+    void events(const std::vector<StoreEvent> &events, std::uint64_t revision)
+    {
+        const Watch watch = std::move(watches.front());
+        watches.pop_front();
+        watch.reply({StoreStatus::Answered, events, Revision(revision)});
+    }
+
+    void failWatch(StoreStatus status)
+    {
+        const Watch watch = std::move(watches.front());
+        watches.pop_front();
+        watch.reply({status, {}, Revision()});
+    }
+};
+
+StoreItem item(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return {key, value, Revision(revision)};
+}
+
+} // namespace
+
+Test(prefixmirror, reads_pages_then_follows_changes)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3)}, 10, true);
+    cr_assert_str_eq(store.ranges.front().afterKey.c_str(), "p/a");
+    store.page({item("p/b", "2", 12)}, 13);
+    cr_assert_eq(store.mirror.items().size(), 2);
+    // The pages are not of one moment: the watch goes on from the first.
+    cr_assert_eq(store.watches.front().after.value(), 10);
+    store.events({{item("p/b", "old", 11), false}, {item("p/a", "", 12), true}, {item("p/c", "3", 14), false}}, 14);
+    cr_assert_str_eq(store.mirror.items().at("p/b").value.c_str(), "2", "an older event does not undo what a later page held");
+    cr_assert_eq(store.mirror.items().count("p/a"), 0);
+    cr_assert_eq(store.mirror.items().count("p/c"), 1);
+    cr_assert_eq(store.watches.front().after.value(), 14);
+}
+
+Test(prefixmirror, reads_anew_where_the_history_is_lost)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
+    store.failWatch(StoreStatus::HistoryLost);
+    store.page({item("p/b", "2", 40)}, 50);
+    cr_assert_eq(store.mirror.items().size(), 1);
+    cr_assert_eq(store.watches.front().after.value(), 50);
+}
+
+Test(prefixmirror, keeps_what_it_has_while_the_store_is_away_and_says_so_once)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3)}, 10);
+    store.failWatch(StoreStatus::Failed);
+    store.scheduled.front()();
+    store.failWatch(StoreStatus::Failed);
+    cr_assert_eq(store.mirror.items().size(), 1);
+    cr_assert_eq(store.availability.size(), 2);
+    cr_assert_not(store.mirror.answeringSince());
+}
+
+Test(prefixmirror, a_peers_copy_counts_only_where_it_is_newer)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "new", 30)}, 31);
+    FakeStore behind;
+    behind.mirror.start();
+    behind.page({item("p/a", "old", 3), item("p/b", "old", 4)}, 10);
+    cr_assert(behind.mirror.isBehind(ahead.mirror.lastChange()));
+    const std::string old = behind.mirror.document();
+    cr_assert(behind.mirror.adopt(ahead.mirror.document()));
+    cr_assert_str_eq(behind.mirror.items().at("p/a").value.c_str(), "new");
+    cr_assert_eq(behind.mirror.items().size(), 1);
+    cr_assert_not(ahead.mirror.adopt(old));
+    cr_assert_not(behind.mirror.adopt(old));
+    cr_assert_not(behind.mirror.adopt("no document"));
+    // The answer of a watch that was asked before changes nothing that the copy already holds.
+    behind.events({{item("p/a", "older", 20), false}}, 20);
+    cr_assert_str_eq(behind.mirror.items().at("p/a").value.c_str(), "new");
+}
--- /dev/null
+++ b/tests/platform/decoders.cpp
@@ -0,0 +1,206 @@
+#include <platform/configurationdecoder.h>
+#include <platform/httptranslation.h>
+#include <platform/instancedecoder.h>
+#include <platform/storecalls.h>
+
+#include <criterion/criterion.h>
+
+using namespace chervilpaddle;
+using namespace chervilpaddle::platform;
+
+namespace {
+
+const char *const soundConfiguration = R"({"version":7,"limits":{},
+    "listeners":[{"host":"h.example","rules":[
+        {"name":"r1","kind":"idempotent","target_latency_s":1.5,"priority":2,"match":{"prefix":"/a/"},
+         "action":{"traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],"timeout_s":1.2,"attempts":2}},
+        {"name":"r2","kind":"non_idempotent","target_latency_s":2,"priority":0,"match":{"prefix":"/b/"},
+         "action":{"service":"y","timeout_s":1.5,"attempts":1}}]}],
+    "clusters":[{"name":"x"},{"name":"y"}]})";
+
+std::string replaced(std::string text, const std::string &what, const std::string &with)
+{
+    const auto at = text.find(what);
+    cr_assert_neq(at, std::string::npos, "%s", what.c_str());
+    return text.replace(at, what.size(), with);
+}
+
+HttpResult whole(int status, std::initializer_list<std::pair<const char *, const char *>> fields)
+{
+    HttpResult result;
+    result.stage = HttpStage::Whole;
+    result.response.status = status;
+    for (const auto &[name, value] : fields) {
+        result.response.headers.set(name, value);
+    }
+    result.response.body = "body";
+    return result;
+}
+
+} // namespace
+
+Test(platform, decodes_a_configuration)
+{
+    std::string reason;
+    const auto table = decodeRoutes({"op/config", soundConfiguration, Revision(5)}, reason);
+    cr_assert(table.has_value(), "%s", reason.c_str());
+    cr_assert_eq(table->revision().value(), 7);
+    const Route *first = table->match("h.example", "/a/x");
+    cr_assert(first->idempotent);
+    cr_assert_eq(first->targets.size(), 2);
+    cr_assert_eq(first->attempts, 2);
+    cr_assert_eq(first->timeout, std::chrono::milliseconds(1200));
+    cr_assert_eq(first->objective, std::chrono::milliseconds(1500));
+    cr_assert_not(table->match("h.example", "/b/")->idempotent);
+}
+
+Test(platform, refuses_a_configuration_that_does_not_check)
+{
+    const std::string sound = soundConfiguration;
+    const std::string broken[] = {sound.substr(0, sound.size() / 2),
+                                  "",
+                                  "[]",
+                                  replaced(sound, "\"clusters\":[{\"name\":\"x\"},", "\"clusters\":["),
+                                  replaced(sound, "non_idempotent", "odd"),
+                                  replaced(sound, "\"/b/\"", "\"/b\""),
+                                  replaced(sound, "\"timeout_s\":1.5,", ""),
+                                  replaced(sound, "\"timeout_s\":1.5", "\"timeout_s\":0"),
+                                  replaced(sound, "\"weight\":10", "\"weight\":-1"),
+                                  replaced(sound, "\"version\":7", "\"version\":\"7\"")};
+    for (const std::string &text : broken) {
+        std::string reason;
+        cr_assert_not(decodeRoutes({"op/config", text, Revision(5)}, reason).has_value(), "%s", text.c_str());
+        cr_assert_not(reason.empty());
+    }
+}
+
+Test(platform, decodes_entries_and_leaves_out_what_names_no_instance)
+{
+    const std::string sound = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":108,)"
+                              R"("state":"ready","cold_remaining_s":0,"sequence":4,"born":1700000000000})";
+    std::string reason;
+    const auto entry = decodeInstance({"servers/i-1", sound, Revision(3)}, reason);
+    cr_assert(entry.has_value(), "%s", reason.c_str());
+    cr_assert_str_eq(entry->instance.instance.value().c_str(), "10.1.0.9");
+    cr_assert_str_eq(entry->instance.backend.value().c_str(), "i-1");
+    cr_assert_eq(entry->startedAt, 1700000000000);
+    cr_assert(decodeInstance({"servers/i-1", replaced(sound, "ready", "draining"), Revision(3)}, reason)->instance.leaving);
+    const std::string broken[] = {"\xff\xfe",
+                                  "{}",
+                                  "7",
+                                  replaced(sound, "\"ready\"", "\"asleep\""),
+                                  replaced(sound, "108", "\"many\""),
+                                  replaced(sound, "10.1.0.9:8080", "nowhere"),
+                                  replaced(sound, "\"service\":\"x\",", "")};
+    for (const std::string &text : broken) {
+        cr_assert_not(decodeInstance({"servers/i-1", text, Revision(3)}, reason).has_value(), "%s", text.c_str());
+    }
+    cr_assert_not(decodeInstance({"servers/", sound, Revision(3)}, reason).has_value());
+}
+
+Test(platform, decodes_what_the_store_answers)
+{
+    const StorePage page = decodePage(R"({"items":[{"key":"k","value":"bm9kZS0x","revision":4},{"key":"l","value":"!","revision":5}],)"
+                                      R"("has_more":true,"store_revision":9})");
+    cr_assert_eq(page.status, StoreStatus::Answered);
+    cr_assert_str_eq(page.items.at(0).value.c_str(), "node-1");
+    cr_assert(page.hasMore);
+    cr_assert_eq(page.storeRevision.value(), 9);
+    const StoreChanges changes = decodeChanges(R"({"events":[{"key":"k","revision":6,"deleted":true}],"store_revision":6})");
+    cr_assert(changes.events.at(0).isRemoved);
+    cr_assert_eq(decodePage("{").status, StoreStatus::Failed);
+    cr_assert_eq(decodeChanges("{\"events\":3}").status, StoreStatus::Failed);
+}
+
+Test(platform, what_an_answer_of_a_backend_server_means)
+{
+    struct Case
+    {
+        HttpResult result;
+        ResultCode expected;
+    };
+    HttpResult lost;
+    lost.stage = HttpStage::Sent;
+    HttpResult cut;
+    cut.stage = HttpStage::Truncated;
+    HttpResult unreached;
+    Case cases[] = {{whole(200, {{"Response-Signature", "s"}}), ResultCode::Done},
+                    {whole(200, {}), ResultCode::AnswerUnverified},
+                    {whole(200, {{"Response-Signature", "s"}, {"Content-Encoding", "gzip"}}), ResultCode::AnswerUnverified},
+                    {whole(500, {{"Response-Signature", "s"}}), ResultCode::DoneWithError},
+                    {whole(404, {{"Response-Signature", "s"}}), ResultCode::Done},
+                    {whole(503, {{"Not-Executed", "1"}}), ResultCode::BackendRefused},
+                    {whole(429, {{"Not-Executed", "1"}}), ResultCode::BackendRefused},
+                    {whole(421, {{"Instance-Id", "i"}}), ResultCode::BackendRefused},
+                    {whole(503, {{"Response-Signature", "s"}}), ResultCode::AnswerUnverified},
+                    {lost, ResultCode::AnswerLost},
+                    {cut, ResultCode::AnswerTruncated},
+                    {unreached, ResultCode::BackendUnreachable}};
+    for (Case &c : cases) {
+        cr_assert_eq(backendResult(c.result).code, c.expected, "status %d", c.result.response.status);
+    }
+}
+
+Test(platform, only_what_has_not_run_is_answered_with_a_promise)
+{
+    for (const ResultCodeRow &row : resultCodeTable()) {
+        if (static_cast<int>(row.code) < 2000 || static_cast<int>(row.code) > 3999) {
+            continue;
+        }
+        CallResult result;
+        result.code = row.code;
+        const HttpResponse response = callerResponse(RequestId("r"), result, std::chrono::milliseconds(250));
+        const bool promises = response.status == 503 || response.status == 429 || response.status == 408 || response.status == 421;
+        cr_assert(!promises || outcomeOf(row.code) == Outcome::NotRun, "%s", row.name);
+        cr_assert_eq(promises, response.headers.find("Retry-After") != nullptr, "%s", row.name);
+    }
+}
+
+Test(platform, passes_on_what_concerns_more_than_one_connection)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/x?y=1";
+    const std::pair<const char *, const char *> fields[] = {{"Host", "h.example"},
+                                                            {"Request-Id", "aa.bb"},
+                                                            {"Deadline-Milliseconds", "900"},
+                                                            {"Connection", "keep-alive, X-Hop"},
+                                                            {"X-Hop", "1"},
+                                                            {"Caller-Service", "forged"},
+                                                            {"Expected-Instance", "forged"},
+                                                            {"Content-Length", "4"},
+                                                            {"X-Kept", "1"}};
+    for (const auto &[name, value] : fields) {
+        request.headers.set(name, value);
+    }
+    const auto call = parseCall(request, ServiceName("own"));
+    cr_assert(call.has_value());
+    cr_assert_str_eq(call->parent.value().c_str(), "aa");
+    cr_assert_eq(*call->patience, std::chrono::milliseconds(900));
+    CallMessage message;
+    message.payload.head = call->head;
+    message.context.backend = BackendId("i-1");
+    const HttpRequest sent = backendRequest(message, std::chrono::milliseconds(700));
+    cr_assert_str_eq(sent.target.c_str(), "/a/x?y=1");
+    cr_assert_str_eq(sent.headers.valueOr("Caller-Service", "").c_str(), "own");
+    cr_assert_str_eq(sent.headers.valueOr("Expected-Instance", "").c_str(), "i-1");
+    cr_assert_str_eq(sent.headers.valueOr("Deadline-Milliseconds", "").c_str(), "700");
+    cr_assert_str_eq(sent.headers.valueOr("X-Kept", "").c_str(), "1");
+    cr_assert_null(sent.headers.find("X-Hop"));
+    cr_assert_null(sent.headers.find("Connection"));
+    HttpHeaders foreign;
+    foreign.set("Request-Id", "cc");
+    cr_assert_not(isOwnAnswer(sent, foreign));
+}
+
+Test(platform, refuses_requests_without_an_id_or_with_an_unreadable_deadline)
+{
+    for (const char *deadline : {"", "-1", "soon", "1.5"}) {
+        HttpRequest request;
+        request.headers.set("Request-Id", "a");
+        request.headers.set("Deadline-Milliseconds", deadline);
+        cr_assert_not(parseCall(request, ServiceName("own")).has_value(), "%s", deadline);
+    }
+    HttpRequest nameless;
+    cr_assert_not(parseCall(nameless, ServiceName("own")).has_value());
+}
