--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -275,6 +275,12 @@
         return false;
     }
     ++m_counters.overloaded;
+    m_log.info({"request refused at the entry",
+                ResultCode::Overloaded,
+                entered.request,
+                "route " + entered.route->name.value() + ", no room at " + service->value() + ", clearing rank "
+                    + std::to_string(m_admission.clearing(*service, m_clock())) + ", request's rank " + std::to_string(entered.rank)
+                    + (hasReturned ? ", returned" : "")});
     CallResult result;
     result.code = ResultCode::Overloaded;
     ended(entered, result);
@@ -310,19 +316,26 @@
     } else if (result.code == ResultCode::Done) {
         m_admission.recordCosts(entered.operation, worthOf(*entered.route).value(), result.costs);
     }
-    if (outcome != Outcome::Done) {
-        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock() - entered.arrived);
-        m_log.info({outcome == Outcome::NotRun ? "request refused" : "request failed",
-                    result.code,
-                    entered.request,
-                    "route " + entered.route->name.value() + ", operation " + entered.operation.value() + ", after "
-                        + std::to_string(elapsed.count()) + " ms and " + std::to_string(result.attempts) + " attempts, last at "
-                        + result.executor.value() + ", configuration " + std::to_string(entered.table->revision().value()) + ", instances "
-                        + std::to_string(m_instancesMirror->lastChange().value())});
+    // A refusal at the entry has been logged with what decided it.
+    if (outcome != Outcome::Done && result.code != ResultCode::Overloaded) {
+        logOutcome(entered, result);
     }
     entered.exchange->respond(m_dialect.response(entered.request, result, comeBackAfter(entered, result)));
 }
 
+void MeshCore::logOutcome(const Entered &entered, const CallResult &result)
+{
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock() - entered.arrived);
+    const std::string last = result.attempts == 0 ? std::string() : ", the last at " + result.executor.value();
+    m_log.info({outcomeOf(result.code) == Outcome::NotRun ? "request refused" : "request failed",
+                result.code,
+                entered.request,
+                "route " + entered.route->name.value() + ", operation " + entered.operation.value() + ", after "
+                    + std::to_string(elapsed.count()) + " ms and " + std::to_string(result.attempts) + " attempts" + last
+                    + ", configuration " + std::to_string(entered.table->revision().value()) + ", instances "
+                    + std::to_string(m_instancesMirror->lastChange().value())});
+}
+
 //! Spread over the time in which an answer is still worth its whole, within the third of its time that a caller waits.
 std::optional<Duration> MeshCore::comeBackAfter(const Entered &entered, const CallResult &result)
 {
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -81,11 +81,13 @@
 
     void enter(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route);
     OutboundCall outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, const Run *parent) const;
+    //! Answers and logs a request whose call tree has no room.
     bool isRefusedAtEntry(const Entered &entered, bool hasReturned);
     bool hasReturned(const IncomingCall &incoming, const Route &route);
     void publishClearing();
     void takeClearing(const InstanceId &instance, Rank clearing);
     void ended(const Entered &entered, const CallResult &result);
+    void logOutcome(const Entered &entered, const CallResult &result);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail);
     std::optional<Duration> comeBackAfter(const Entered &entered, const CallResult &result);
 
