--- a/src/chervilpaddle/controllers/entryadmission.cpp
+++ b/src/chervilpaddle/controllers/entryadmission.cpp
@@ -93,14 +93,4 @@
     return count == 0 ? 0 : sum / count;
 }
 
-double EntryAdmission::cost(const OperationName &operation, const ServiceName &service) const
-{
-    const auto costs = m_costs.find(operation);
-    if (costs == m_costs.end()) {
-        return 0;
-    }
-    const auto seconds = costs->second.find(service);
-    return seconds == costs->second.end() ? 0 : seconds->second;
-}
-
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/entryadmission.h
+++ b/src/chervilpaddle/controllers/entryadmission.h
@@ -40,8 +40,6 @@
     std::optional<ServiceName> refusedBy(const Request &request, TimePoint now) const;
     //! The clearing rank of a service, over its instances; zero where there is room for all.
     Rank clearing(const ServiceName &service, TimePoint now) const;
-    //! Seconds that one request of the operation holds slots of the service, over its whole tree.
-    double cost(const OperationName &operation, const ServiceName &service) const;
 
 private:
     struct Report
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -25,6 +25,8 @@
         counter("chervilpaddle_requests_total", "Requests that arrived at this node's entry", counters.requests);
         counter("chervilpaddle_requests_served_total", "Requests with a whole answer", counters.served);
         counter("chervilpaddle_requests_refused_total", "Requests that have not run", counters.refused);
+        counter("chervilpaddle_requests_overloaded_total", "Requests refused for want of room in their tree", counters.overloaded);
+        gauge("chervilpaddle_clearing_rank", "Requests that the entries must refuse", core.executor().clearingRank());
         counter("chervilpaddle_requests_failed_total", "Requests that may have run and have no answer", counters.failed);
         counter("chervilpaddle_requests_left_total", "Requests whose caller went away", counters.left);
         counter("chervilpaddle_unreadable_entries_total", "Entries of the platform that name no instance", counters.unreadableEntries);
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -110,13 +110,6 @@
         });
     }
 
-    std::string callerHost() const
-    {
-        beast::error_code error;
-        const auto caller = m_stream.socket().remote_endpoint(error);
-        return error ? std::string() : caller.address().to_string();
-    }
-
     void onDisconnect(std::function<void()> handler)
     {
         m_disconnectHandler = std::move(handler);
@@ -294,10 +287,6 @@
     {
         return m_request;
     }
-    std::string callerHost() const override
-    {
-        return m_session->callerHost();
-    }
     std::string takeBody() override
     {
         return std::move(m_request.body);
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -23,8 +23,6 @@
     virtual std::string takeBody() = 0;
     //! The request itself, to be taken apart by its handler.
     virtual HttpRequest &mutableRequest() = 0;
-    //! The caller's address, without the port.
-    virtual std::string callerHost() const = 0;
     //! Answers the request. Any thread; the first call counts.
     virtual void respond(HttpResponse response) = 0;
     //! Called on the connection's thread if the caller goes away before the answer. Set it before the handler returns.
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -13,7 +13,8 @@
 {
     CallMessage call;
     call.ticket = {{Incarnation(0xFFFFFFFFFFFFFFFFULL), 42}, InstanceId("pagos-1"), Incarnation(9)};
-    call.context = {RequestId("r-1"), CustomerName("organisers"), OperationName("pagos.instruct"), 900.25, 3, true, false};
+    call.context = {
+        RequestId("r-1"), CustomerName("organisers"), OperationName("pagos.instruct"), 900.25, 3, true, false, BackendId("start-7")};
     call.remaining = std::chrono::milliseconds(750);
     call.allowance = 2;
     call.payload = {0, "text/plain", std::make_shared<const std::string>("body\0with zero", 14)};
@@ -174,3 +175,37 @@
         cr_expect_not(parseTicket(bad).has_value(), "%s", bad);
     }
 }
+
+Test(codec, keeps_what_plain_http_calls_carry)
+{
+    CallMessage call;
+    call.context.request = RequestId("r");
+    call.context.operation = OperationName("x.route");
+    call.context.backend = BackendId("start-7");
+    call.payload.head = std::make_shared<const HttpHead>(HttpHead{"PUT", "/a/b?c=d", {{"Host", "h"}, {"X-Twice", "1"}, {"X-Twice", "2"}}});
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({call, TimePoint()}), frame));
+    const auto &copy = std::get<CallMessage>(frame.message);
+    cr_assert_str_eq(copy.context.backend.value().c_str(), "start-7");
+    cr_assert_str_eq(copy.payload.head->method.c_str(), "PUT");
+    cr_assert_str_eq(copy.payload.head->target.c_str(), "/a/b?c=d");
+    cr_assert(copy.payload.head->fields == call.payload.head->fields);
+}
+
+Test(codec, keeps_load_costs_and_clearing_rank)
+{
+    AnswerMessage answer;
+    answer.load = 1.5;
+    answer.costs = {{ServiceName("x"), 0.25}, {ServiceName("y"), 0.5}};
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({answer, TimePoint()}), frame));
+    const auto &copy = std::get<AnswerMessage>(frame.message);
+    cr_assert_float_eq(copy.load, 1.5, 1e-9);
+    cr_assert_eq(copy.costs.size(), 2);
+    cr_assert_str_eq(copy.costs.back().service.value().c_str(), "y");
+    cr_assert_float_eq(copy.costs.back().seconds, 0.5, 1e-9);
+    StatusMessage status;
+    status.clearing = 8.25;
+    cr_assert_not(decodeFrame(encodeFrame({status, TimePoint()}), frame));
+    cr_assert_float_eq(std::get<StatusMessage>(frame.message).clearing, 8.25, 1e-9);
+}
--- /dev/null
+++ b/tests/transport/httpclient.cpp
@@ -0,0 +1,179 @@
+#include <chervilpaddle/transport/httpclient.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <memory>
+#include <vector>
+
+using namespace chervilpaddle;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+//! What a server does once it has seen the first bytes of a request.
+struct Script
+{
+    std::string bytes;
+    bool closes = false;
+    bool resets = false;
+};
+
+//! A server on loopback that plays a script for each request, whichever connection it comes on.
+class ScriptedServer
+{
+public:
+    ScriptedServer(asio::io_context &context, std::vector<Script> scripts)
+        : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_scripts(std::move(scripts))
+    {
+        accept();
+    }
+
+    Endpoint address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    int connections() const
+    {
+        return m_connections;
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (!error) {
+                ++m_connections;
+                serve(std::make_shared<tcp::socket>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    void serve(const std::shared_ptr<tcp::socket> &socket)
+    {
+        const auto buffer = std::make_shared<std::vector<char>>(65536);
+        socket->async_read_some(asio::buffer(*buffer), [this, socket, buffer](const boost::system::error_code &error, std::size_t) {
+            if (error || m_next == m_scripts.size()) {
+                return;
+            }
+            const Script &script = m_scripts[m_next++];
+            asio::write(*socket, asio::buffer(script.bytes));
+            boost::system::error_code ignored;
+            if (script.resets) {
+                socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            }
+            if (script.closes || script.resets) {
+                socket->close(ignored);
+                return;
+            }
+            serve(socket);
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    std::vector<Script> m_scripts;
+    std::size_t m_next = 0;
+    int m_connections = 0;
+};
+
+struct Exchange
+{
+    HttpStage stage = HttpStage::NotSent;
+    std::string body;
+};
+
+//! Sends as many requests as there are ids, one after the other, and tells how each ended.
+std::vector<Exchange> exchange(const std::vector<Script> &scripts, const std::vector<std::string> &ids, int *connections = nullptr)
+{
+    asio::io_context context;
+    ScriptedServer server(context, scripts);
+    HttpClient::Options options;
+    options.address = server.address();
+    options.largestBody = 1024;
+    options.acceptsOpenEnd = true;
+    options.isOwnAnswer = [](const HttpRequest &request, const HttpHeaders &answer) {
+        return answer.valueOr("Id", {}).empty() || answer.valueOr("Id", {}) == request.headers.valueOr("Id", {});
+    };
+    HttpClient client(context, options);
+    std::vector<Exchange> exchanges;
+    std::function<void()> next = [&] {
+        if (exchanges.size() == ids.size()) {
+            context.stop();
+            return;
+        }
+        HttpRequest request;
+        request.headers.set("Id", ids[exchanges.size()]);
+        client.send(std::move(request), std::chrono::seconds(5), [&](const HttpResult &result) {
+            exchanges.push_back({result.stage, result.response.body});
+            next();
+        });
+    };
+    next();
+    context.run();
+    if (connections != nullptr) {
+        *connections = server.connections();
+    }
+    return exchanges;
+}
+
+const std::string wholeA = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\none";
+const std::string wholeB = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\ntwo";
+
+} // namespace
+
+Test(httpclient, how_answers_end)
+{
+    struct Case
+    {
+        const char *what;
+        Script script;
+        HttpStage expected;
+    };
+    const Case cases[] = {
+        {"a length", {wholeA}, HttpStage::Whole},
+        {"chunks", {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"}, HttpStage::Whole},
+        {"an orderly end of the connection", {"HTTP/1.1 200 OK\r\n\r\none", true}, HttpStage::Whole},
+        {"a reset in place of the end", {"HTTP/1.1 200 OK\r\n\r\none", false, true}, HttpStage::Truncated},
+        {"too few bytes", {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none", true}, HttpStage::Truncated},
+        {"a cut chunk", {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\none", true}, HttpStage::Truncated},
+        {"no answer", {"", true}, HttpStage::Sent},
+        {"bytes that are no answer", {"nonsense\r\n\r\n", true}, HttpStage::Truncated},
+        {"two lengths", {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\none", true}, HttpStage::Truncated},
+        {"too long a body", {"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n", true}, HttpStage::TooLarge}};
+    for (const Case &c : cases) {
+        const auto ended = exchange({c.script}, {"a"});
+        cr_assert_eq(ended.at(0).stage, c.expected, "%s: %d", c.what, static_cast<int>(ended.at(0).stage));
+    }
+}
+
+Test(httpclient, a_late_answer_to_another_request_is_skipped)
+{
+    const auto ended = exchange({{wholeA}, {wholeA + wholeB}}, {"a", "b"});
+    cr_assert_eq(ended.at(1).stage, HttpStage::Whole);
+    cr_assert_str_eq(ended.at(1).body.c_str(), "two");
+}
+
+Test(httpclient, a_connection_with_bytes_left_over_is_not_used_again)
+{
+    int connections = 0;
+    const auto ended = exchange({{wholeA + wholeA}, {wholeB}}, {"a", "b"}, &connections);
+    cr_assert_str_eq(ended.at(1).body.c_str(), "two");
+    cr_assert_eq(connections, 2);
+}
+
+Test(httpclient, a_connection_is_used_again_after_a_whole_answer_only)
+{
+    int connections = 0;
+    exchange({{wholeA}, {wholeB}}, {"a", "b"}, &connections);
+    cr_assert_eq(connections, 1);
+    exchange({{wholeA + "", true}, {wholeB}}, {"a", "b"}, &connections);
+    cr_assert_eq(connections, 2);
+    const std::string shortIdle = "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 3\r\n\r\none";
+    exchange({{shortIdle}, {wholeB}}, {"a", "b"}, &connections);
+    cr_assert_eq(connections, 2, "the server may close at any moment");
+}
