--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -499,8 +499,7 @@
         std::string reason;
         auto entry = m_dialect.decodeInstance(item, reason);
         if (!entry) {
-            ++m_counters.unreadableEntries;
-            m_log.warn({"instance entry ignored", ResultCode::PlatformMalformed, {}, key + ": " + reason});
+            ignoreEntry(key, reason);
             continue;
         }
         entry->instance.peerAddress = {entry->instance.instance.value(), m_settings.peers.port};
@@ -511,6 +510,12 @@
     m_links->broadcastStatus();
 }
 
+void MeshCore::ignoreEntry(const std::string &key, const std::string &reason)
+{
+    ++m_counters.unreadableEntries;
+    m_log.warn({"instance entry ignored", ResultCode::PlatformMalformed, {}, key + ": " + reason});
+}
+
 void MeshCore::applyInstances()
 {
     m_instances = m_directory.instances();
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -99,6 +99,7 @@
 
     void configurationChanged();
     void instancesChanged();
+    void ignoreEntry(const std::string &key, const std::string &reason);
     void applyInstances();
     void refreshSelf();
     HelloMessage hello() const;
