Keep a vanished entry for less than the drain time

A node that the store turns away hears from its peers that an entry has gone, takes it for one that lapsed with the store and keeps it until 2.2 s after the store answers it again. Ruled out: the watch (peers bring the change at once), the executor's check (it asks the same directory). Change: an entry is kept for 1.5 s at the most. Test: instancedirectory.an_entry_that_goes_while_this_node_cannot_read_*.

--- a/src/chervilpaddle/controllers/instancedirectory.cpp
+++ b/src/chervilpaddle/controllers/instancedirectory.cpp
@@ -5,6 +5,9 @@
 namespace {
 //! The platform's promise: entries that lapsed while it was away are back this soon after its return.
 constexpr Duration returnTime = std::chrono::milliseconds(2200);
+//! An entry may also have gone because its owner leaves: it is kept for less than the two seconds in which the platform
+//! expects that nothing new is sent there.
+constexpr Duration longestKept = std::chrono::milliseconds(1500);
 } // namespace
 
 void InstanceDirectory::update(const std::vector<Entry> &entries, std::optional<TimePoint> answeringSince, TimePoint now)
@@ -22,7 +25,7 @@
         }
         if (!entry.instance.leaving && mayComeBack(answeringSince, now)) {
             next[backend] = entry;
-            m_vanished.insert(backend);
+            m_vanished.try_emplace(backend, now);
         } else {
             m_left.insert(backend);
             m_vanished.erase(backend);
@@ -33,15 +36,20 @@
 
 bool InstanceDirectory::expire(std::optional<TimePoint> answeringSince, TimePoint now)
 {
-    if (m_vanished.empty() || mayComeBack(answeringSince, now)) {
-        return false;
-    }
-    for (const BackendId &backend : m_vanished) {
+    const bool isOver = !mayComeBack(answeringSince, now);
+    bool isChanged = false;
+    for (auto vanished = m_vanished.begin(); vanished != m_vanished.end();) {
+        const auto &[backend, since] = *vanished;
+        if (!isOver && now - since < longestKept) {
+            ++vanished;
+            continue;
+        }
         m_entries.erase(backend);
         m_left.insert(backend);
+        vanished = m_vanished.erase(vanished);
+        isChanged = true;
     }
-    m_vanished.clear();
-    return true;
+    return isChanged;
 }
 
 std::vector<PublishedInstance> InstanceDirectory::instances() const
--- a/src/chervilpaddle/controllers/instancedirectory.h
+++ b/src/chervilpaddle/controllers/instancedirectory.h
@@ -39,7 +39,8 @@
     bool mayComeBack(std::optional<TimePoint> answeringSince, TimePoint now) const;
 
     std::map<BackendId, Entry> m_entries;
-    std::set<BackendId> m_vanished;
+    //! Entries that are kept though the store holds them no more, and since when.
+    std::map<BackendId, TimePoint> m_vanished;
     std::set<BackendId> m_left;
 };
 
--- a/tests/controllers/instancedirectory.cpp
+++ b/tests/controllers/instancedirectory.cpp
@@ -49,7 +49,7 @@
     directory.update({entry("m2", "b", 1)}, back, back);
     cr_assert_eq(directory.instances().size(), 2);
     cr_assert_not(directory.expire(back, back + std::chrono::seconds(1)));
-    cr_assert(directory.expire(back, back + std::chrono::milliseconds(2300)));
+    cr_assert(directory.expire(back, back + std::chrono::milliseconds(1600)));
     cr_assert_eq(directory.instances().size(), 1);
     cr_assert(directory.hasLeft(BackendId("a")));
 }
@@ -62,3 +62,15 @@
     directory.update({entry("m1", "a", 9)}, longAgo, start);
     cr_assert_not(directory.hasLeft(BackendId("a")));
 }
+
+Test(instancedirectory, an_entry_that_goes_while_this_node_cannot_read_the_store_is_kept_for_less_than_the_drain_time)
+{
+    InstanceDirectory directory;
+    directory.update({entry("m1", "a", 1), entry("m2", "b", 1)}, longAgo, start);
+    // The store turns this node away; a peer's copy says that the entry is gone.
+    directory.update({entry("m2", "b", 1)}, std::nullopt, start);
+    cr_assert_not(directory.expire(std::nullopt, start + std::chrono::seconds(1)));
+    cr_assert(directory.expire(std::nullopt, start + std::chrono::milliseconds(1600)));
+    cr_assert(directory.hasLeft(BackendId("a")));
+    cr_assert_eq(directory.instances().size(), 1);
+}
