--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -36,8 +36,7 @@
     case ResultCode::DeadlineTooClose:
     case ResultCode::BackendUnreachable:
     case ResultCode::MintersExhausted:
-    case ResultCode::ExecutorReplaced:
-        return outcomeOf(code) == Outcome::NotRun;
+        return true;
     default:
         return false;
     }
--- a/src/chervilpaddle/node/backendadapter.cpp
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -17,20 +17,8 @@
 
 ResultCode codeOf(const HttpResult &result)
 {
-    switch (result.stage) {
-    case HttpStage::NotSent:
-        return result.cancelled ? ResultCode::CancelledBeforeStart : ResultCode::BackendUnreachable;
-    case HttpStage::Sent:
-        if (result.cancelled) {
-            return ResultCode::CancelledWhileRunning;
-        }
-        return result.timedOut ? ResultCode::DeadlineWhileRunning : ResultCode::AnswerLost;
-    case HttpStage::Truncated:
-        return ResultCode::AnswerTruncated;
-    case HttpStage::TooLarge:
-        return ResultCode::AnswerTooLarge;
-    case HttpStage::Whole:
-        break;
+    if (const auto failure = transferFailure(result); failure) {
+        return *failure;
     }
     if (result.response.status == serviceUnavailable && result.response.headers.find(headers::notRun) != nullptr) {
         return ResultCode::BackendRefused;
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -304,6 +304,26 @@
     std::vector<std::shared_ptr<Connection>> m_idle;
 };
 
+std::optional<ResultCode> transferFailure(const HttpResult &result)
+{
+    switch (result.stage) {
+    case HttpStage::NotSent:
+        return result.cancelled ? ResultCode::CancelledBeforeStart : ResultCode::BackendUnreachable;
+    case HttpStage::Sent:
+        if (result.cancelled) {
+            return ResultCode::CancelledWhileRunning;
+        }
+        return result.timedOut ? ResultCode::DeadlineWhileRunning : ResultCode::AnswerLost;
+    case HttpStage::Truncated:
+        return ResultCode::AnswerTruncated;
+    case HttpStage::TooLarge:
+        return ResultCode::AnswerTooLarge;
+    case HttpStage::Whole:
+        break;
+    }
+    return std::nullopt;
+}
+
 HttpClient::HttpClient(boost::asio::io_context &context, Options options)
     : m_impl(std::make_shared<Impl>(context, std::move(options)))
 {
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -2,12 +2,14 @@
 
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
+#include <chervilpaddle/base/resultcode.h>
 #include <chervilpaddle/controllers/instancelist.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace chervilpaddle {
 
@@ -28,6 +30,9 @@
     bool cancelled = false;
 };
 
+//! Why there is no whole answer of a backend server; nothing where there is one.
+std::optional<ResultCode> transferFailure(const HttpResult &result);
+
 using HttpRequestNumber = StrongNumber<struct HttpRequestNumberTag>;
 
 //! Sends requests to one server over kept connections (Boost.Beast). A connection is used again only after a whole
