--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -8,7 +8,8 @@
 
 constexpr Duration busyHeartbeat = std::chrono::milliseconds(100);
 constexpr Duration idleHeartbeat = std::chrono::seconds(5);
-constexpr Duration busySilence = std::chrono::milliseconds(350);
+//! Three heartbeats of a busy link. With one tick more and the new link, a call of 400 ms is still carried over in time.
+constexpr Duration busySilence = std::chrono::milliseconds(300);
 constexpr Duration idleSilence = std::chrono::seconds(16);
 constexpr Duration helloTimeout = std::chrono::milliseconds(500);
 constexpr Duration firstRedial = std::chrono::milliseconds(50);
@@ -300,6 +301,9 @@
     if (connection == m_connections.end()) {
         return false;
     }
+    if (std::holds_alternative<CallMessage>(message)) {
+        peer->second.busySince = peer->second.busySince.value_or(m_hooks.clock());
+    }
     sendOver(connection->first, connection->second, message);
     return true;
 }
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -153,6 +153,33 @@
     cr_assert(bench.closed.back() == old);
 }
 
+Test(links, a_call_on_a_silent_link_is_carried_over_before_the_shortest_deadline)
+{
+    // The shortest deadline of the Tandas contracts, and what the new link, the frame and the run take of it.
+    constexpr Duration deadline = std::chrono::milliseconds(400);
+    constexpr Duration neededAfterDial = std::chrono::milliseconds(40);
+    constexpr Duration step = std::chrono::milliseconds(5);
+    constexpr int stepsInTick = 10;
+    for (int phase = 0; phase < stepsInTick; ++phase) {
+        LinkBench bench;
+        bench.openLink();
+        bench.tickFor(std::chrono::seconds(1));
+        Duration sinceCall = Duration::zero();
+        for (int i = 0; bench.dials.size() < 2; ++i) {
+            if (i == phase) {
+                bench.outstanding = true;
+                cr_assert(bench.links.send(InstanceId("x-1"), CallMessage()));
+            }
+            bench.time.skip(step);
+            sinceCall += i >= phase ? step : Duration::zero();
+            if (i % stepsInTick == stepsInTick - 1) {
+                bench.links.tick();
+            }
+        }
+        cr_expect_leq(sinceCall.count(), (deadline - neededAfterDial).count(), "called %d steps after a tick", phase);
+    }
+}
+
 Test(links, an_idle_link_is_not_in_doubt_when_calls_begin)
 {
     LinkBench bench;
