Begin no call that the end of a stopping node would cut off

Ruled out: the process ending before it is idle sooner than it has to (it ended at its grace period less the margin). Change: StopPlan refuses, three seconds after the signal, what may outlast the process; the decisions of MeshNode about its end moved there.

--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -21,4 +21,5 @@
 #include <chervilpaddle/controllers/router.h>
 #include <chervilpaddle/controllers/servicetimes.h>
 #include <chervilpaddle/controllers/slotlimit.h>
+#include <chervilpaddle/controllers/stopplan.h>
 #include <chervilpaddle/controllers/ticketregistry.h>
--- /dev/null
+++ b/src/chervilpaddle/controllers/stopplan.cpp
@@ -0,0 +1,42 @@
+#include <chervilpaddle/controllers/stopplan.h>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! The platform asks for readiness every second and takes a node out after two refusals; callers come until then.
+constexpr Duration callersLeave = std::chrono::milliseconds(3200);
+//! Callers that still come after this were told twice that the node is not ready.
+constexpr Duration admissionLength = std::chrono::seconds(3);
+//! Left of the grace period for closing what is open.
+constexpr Duration closingMargin = std::chrono::milliseconds(500);
+
+} // namespace
+
+void StopPlan::begin(TimePoint now, Duration grace)
+{
+    m_began = now;
+    m_end = now + grace - closingMargin;
+}
+
+bool StopPlan::hasBegun() const
+{
+    return m_began.has_value();
+}
+
+bool StopPlan::admits(TimePoint now, TimePoint deadline) const
+{
+    return !m_began || now - *m_began < admissionLength || deadline <= m_end;
+}
+
+bool StopPlan::isOver(TimePoint now, bool isIdle) const
+{
+    return now >= m_end || (isIdle && now - *m_began >= callersLeave);
+}
+
+TimePoint StopPlan::end() const
+{
+    return m_end;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/stopplan.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chervilpaddle/base/clock.h>
+
+#include <optional>
+
+namespace chervilpaddle {
+
+//! Decides what a node that was asked to stop still takes, and when it ends. Answers the load of callers that go on using
+//! open connections to a node that is stopping: nothing may be begun that would be cut off by the end of the process.
+//! Not thread safe.
+class StopPlan
+{
+public:
+    //! Starts the stop; the process ends at the latest `grace` later, less a margin for closing what is open.
+    //! Precondition: called once.
+    void begin(TimePoint now, Duration grace);
+    bool hasBegun() const;
+
+    //! Whether a call with this deadline may be begun. Always true before the stop.
+    bool admits(TimePoint now, TimePoint deadline) const;
+    //! Whether the process may end: callers have had time to leave and nothing is in flight, or the grace is over.
+    //! Precondition: the stop has begun.
+    bool isOver(TimePoint now, bool isIdle) const;
+    //! The last moment at which the process ends. Precondition: the stop has begun.
+    TimePoint end() const;
+
+private:
+    std::optional<TimePoint> m_began;
+    TimePoint m_end;
+};
+
+} // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -242,8 +242,14 @@
     if (parent == nullptr && isRefusedAtEntry(entered, hasReturned(incoming, route))) {
         return;
     }
-    m_repeats.recordRequest(target.service);
     OutboundCall outbound = outboundFor(incoming, route, target, parent);
+    if (!m_stop.admits(m_clock(), outbound.deadline)) {
+        CallResult result;
+        result.code = ResultCode::Leaving;
+        ended(entered, result);
+        return;
+    }
+    m_repeats.recordRequest(target.service);
     outbound.payload.head = incoming.head;
     outbound.payload.body = std::make_shared<const std::string>(exchange->takeBody());
     // A call may end before its number is known here; the caller's leaving then finds nothing to cancel.
@@ -562,24 +568,34 @@
 
 void MeshCore::refreshSelf()
 {
-    const bool takesWork = m_ownBackend && m_ownBackend->service == m_settings.service && !m_ownBackend->leaving && !m_stopping;
+    const bool takesWork = m_ownBackend && m_ownBackend->service == m_settings.service && !m_ownBackend->leaving && !m_stop.hasBegun();
     const BackendId backend = m_ownBackend ? m_ownBackend->backend : BackendId();
     m_links->setSelf({m_settings.instance, m_incarnation, m_settings.dataCentre, !takesWork, backend});
 }
 
 bool MeshCore::isReady() const
 {
-    return !m_stopping && m_routes->revision().value() != 0 && m_instancesMirror->hasContent();
+    return !m_stop.hasBegun() && m_routes->revision().value() != 0 && m_instancesMirror->hasContent();
 }
 
 void MeshCore::beginStop()
 {
-    m_stopping = true;
+    m_stop.begin(m_clock(), m_settings.stopGrace);
     m_executor->drain();
     refreshSelf();
     m_links->broadcastStatus();
 }
 
+bool MeshCore::isStopping() const
+{
+    return m_stop.hasBegun();
+}
+
+bool MeshCore::isStopOver(bool isIdle) const
+{
+    return m_stop.isOver(m_clock(), isIdle);
+}
+
 bool MeshCore::isIdle() const
 {
     return m_executor->running() == 0 && m_router->outstanding() == 0;
@@ -604,7 +620,7 @@
 StatusMessage MeshCore::status() const
 {
     StatusMessage status;
-    status.draining = m_stopping;
+    status.draining = m_stop.hasBegun();
     status.incarnation = m_executor->incarnation();
     status.configuration = m_configurationMirror->lastChange();
     status.instances = m_instancesMirror->lastChange();
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -4,6 +4,7 @@
 #include <chervilpaddle/controllers/linkcontroller.h>
 #include <chervilpaddle/controllers/prefixmirror.h>
 #include <chervilpaddle/controllers/repeatbudget.h>
+#include <chervilpaddle/controllers/stopplan.h>
 #include <chervilpaddle/controllers/trafficsplit.h>
 #include <chervilpaddle/mesh/meshbackend.h>
 #include <chervilpaddle/node/logging.h>
@@ -40,8 +41,11 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     //! The configuration and the instances are known, and no stop was asked for.
     bool isReady() const;
-    //! Takes no more work for the backend server beside this node; callers are served on.
+    //! Takes no more work for the backend server beside this node; callers are served on while their calls can end in time.
     void beginStop();
+    bool isStopping() const;
+    //! Whether the process may end. Precondition: the stop has begun.
+    bool isStopOver(bool isIdle) const;
     //! Nothing is in flight.
     bool isIdle() const;
     void shutdown();
@@ -112,7 +116,7 @@
     Clock m_clock;
     RandomSource m_random;
     Incarnation m_incarnation;
-    bool m_stopping = false;
+    StopPlan m_stop;
     std::shared_ptr<const RouteTable> m_routes;
     InstanceDirectory m_directory;
     std::vector<PublishedInstance> m_instances;
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -16,12 +16,8 @@
 namespace asio = boost::asio;
 
 constexpr Duration stopPoll = std::chrono::milliseconds(50);
-//! The platform asks every second and takes a node out after two refusals: callers come until then.
-constexpr Duration callersLeave = std::chrono::milliseconds(3200);
 //! A connection on which nothing came for this long is taken to be out of use.
 constexpr auto callersRest = std::chrono::milliseconds(500);
-//! Left of the grace period for closing what is open.
-constexpr Duration stopMargin = std::chrono::milliseconds(500);
 //! Time for the last answers to leave the sockets.
 constexpr Duration flushTime = std::chrono::milliseconds(100);
 constexpr std::size_t largestOperatorBody = 64 * kibibyte;
@@ -145,10 +141,9 @@
 
     void beginStop()
     {
-        if (m_stopBegan) {
+        if (m_core.isStopping()) {
             return;
         }
-        m_stopBegan = steadyClock()();
         m_log.info({"stop begins", ResultCode::Leaving, {}, std::to_string(m_core.executor().running()) + " runs"});
         m_callers.closeAfterResponses();
         m_core.beginStop();
@@ -159,10 +154,9 @@
     {
         m_timer.expires_after(stopPoll);
         m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
-            const Duration elapsed = steadyClock()() - *m_stopBegan;
-            const bool isDone = elapsed >= callersLeave && m_core.isIdle() && m_callers.isQuiet(callersRest);
-            if (isDone || elapsed >= m_settings.stopGrace - stopMargin) {
-                finishStop(isDone);
+            const bool isIdle = m_core.isIdle() && m_callers.isQuiet(callersRest);
+            if (m_core.isStopOver(isIdle)) {
+                finishStop(isIdle);
             } else {
                 pollStop();
             }
@@ -199,7 +193,6 @@
     HttpServer m_operators;
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
-    std::optional<TimePoint> m_stopBegan;
 };
 
 MeshNode::MeshNode(const NodeSettings &settings, Dialect dialect, Reload reload)
