Use only the part of the slots at which a backend server gets most done

Ruled out: uneven placing (queues of the three instances alike), refusals without need (0 to 20 waiting while refusing). Change: OccupancyLevel compares what gets done at 0.85, 0.94 and all of the slots in short visits and keeps the best; begins at 0.94.

--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -13,6 +13,7 @@
 #include <chervilpaddle/controllers/instancepicker.h>
 #include <chervilpaddle/controllers/linkclock.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/occupancylevel.h>
 #include <chervilpaddle/controllers/peerselection.h>
 #include <chervilpaddle/controllers/policyswitches.h>
 #include <chervilpaddle/controllers/pricecontroller.h>
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -36,6 +36,7 @@
     , m_tickets(m_options.ticketLimits)
     , m_queue(m_options.policy.worthOrder)
     , m_slots(m_options.slots)
+    , m_level(m_hooks.clock())
     , m_windowStart(m_hooks.clock())
     , m_occupancySince(m_windowStart)
 {
@@ -175,7 +176,7 @@
     }
     m_pumping = true;
     const TimePoint now = m_hooks.clock();
-    while (!m_queue.isEmpty() && (!m_options.policy.slots || running() < m_slots.limit())) {
+    while (!m_queue.isEmpty() && (!m_options.policy.slots || running() < slotLimit())) {
         const QueuedCall next = *m_queue.first();
         if (!canFinish(next, now)) {
             ++m_counters.expired;
@@ -234,6 +235,7 @@
     if (served) {
         ++m_windowCompletions;
         m_serviceTimes.record(active.run.call.context.operation, now - active.run.started, now);
+        m_level.record(active.run.call.context.operation, now - active.run.started);
         m_slots.recordSuccess();
     } else if (result.code == ResultCode::BackendUnreachable) {
         m_slots.markCold();
@@ -310,6 +312,7 @@
     expireQueued(now);
     expireRunning(now);
     endWindowIfDue(now);
+    m_level.update(!m_queue.isEmpty(), now);
     pump();
 }
 
@@ -354,9 +357,9 @@
         return;
     }
     noteOccupancy();
-    const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * m_slots.limit());
+    const double occupancy = m_occupiedSlotSeconds / (toSeconds(length) * slotLimit());
     const double rate = startsPerSecond();
-    ClearingRank::Window clearing{std::exchange(m_windowArrived, {}), 0, m_slots.limit(), length, 0};
+    ClearingRank::Window clearing{std::exchange(m_windowArrived, {}), 0, slotLimit(), length, 0};
     clearing.inForce = m_hooks.clearingInForce ? m_hooks.clearingInForce() : m_clearing.rank();
     clearing.waiting = static_cast<double>(m_queue.size()) * toSeconds(m_serviceTimes.mean());
     m_clearing.update(clearing);
@@ -467,7 +470,8 @@
 
 int Executor::slotLimit() const
 {
-    return m_slots.limit();
+    const int mostUseful = std::max(1, static_cast<int>(std::lround(m_level.share() * m_slots.slots())));
+    return std::min(m_slots.limit(), mostUseful);
 }
 
 std::size_t Executor::queued() const
@@ -519,7 +523,7 @@
     answer.code = code;
     answer.allowance = allowance;
     answer.price = price(call.context.operation);
-    answer.load = static_cast<double>(running() + static_cast<int>(m_queue.size())) / m_slots.limit();
+    answer.load = static_cast<double>(running() + static_cast<int>(m_queue.size())) / slotLimit();
     return answer;
 }
 
@@ -540,7 +544,7 @@
 double Executor::startsPerSecond() const
 {
     const double mean = toSeconds(m_serviceTimes.mean());
-    return mean > 0 ? m_slots.limit() / mean : 0;
+    return mean > 0 ? slotLimit() / mean : 0;
 }
 
 } // namespace chervilpaddle
