Place calls by the time that answers took; keep a silent link in doubt until it is heard; refuse what cannot be reached

Ruled out: links that break too late (first doubt after 300 ms), late lists. Changes: CompletionForecast and its use in InstancePicker (trials, own data centre unless clearly slower or fuller); doubt ends only with something heard, dialling goes on meanwhile, and gives up after 250 ms; EntryAdmission::unreachable; a rare failure of a backend server's own is repeated for what is idempotent, and a refused repeat gives that failure, not a promise.

--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -4,6 +4,7 @@
 
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/allowance.h>
+#include <chervilpaddle/controllers/completionforecast.h>
 #include <chervilpaddle/controllers/configurationcontroller.h>
 #include <chervilpaddle/controllers/configurationsync.h>
 #include <chervilpaddle/controllers/ejection.h>
--- a/src/chervilpaddle/controllers/entryadmission.cpp
+++ b/src/chervilpaddle/controllers/entryadmission.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double costSmoothing = 0.1;
+//! A service counts as needed by an operation where no less than this part of its requests has needed it.
+constexpr double neededShare = 0.95;
 //! Below this a request does not count as leading to a service.
 constexpr double leastCost = 0.001;
 //! While there is some room, who has waited as told is refused this much more rarely: a second refusal is the worst
@@ -24,18 +26,20 @@
 void EntryAdmission::recordCosts(const OperationName &operation, int worth, const std::vector<ServiceCost> &costs)
 {
     Costs &known = m_costs[operation];
-    Costs sample;
+    std::map<ServiceName, double> sample;
     for (const ServiceCost &cost : costs) {
         sample[cost.service] += cost.seconds;
     }
     for (const auto &[service, seconds] : sample) {
-        known.try_emplace(service, seconds);
+        known.try_emplace(service, Cost{seconds, 1});
         const auto least = m_leastWorth.try_emplace(service, worth).first;
         least->second = std::min(least->second, worth);
     }
-    for (auto &[service, seconds] : known) {
+    for (auto &[service, cost] : known) {
         const auto seen = sample.find(service);
-        seconds += costSmoothing * ((seen == sample.end() ? 0 : seen->second) - seconds);
+        const bool isNeeded = seen != sample.end();
+        cost.seconds += costSmoothing * ((isNeeded ? seen->second : 0) - cost.seconds);
+        cost.share += costSmoothing * ((isNeeded ? 1 : 0) - cost.share);
     }
 }
 
@@ -53,6 +57,19 @@
     }
 }
 
+std::optional<ServiceName> EntryAdmission::unreachable(const OperationName &operation,
+                                                       const std::function<bool(const ServiceName &)> &isReachable) const
+{
+    const auto costs = m_costs.find(operation);
+    if (costs == m_costs.end()) {
+        return std::nullopt;
+    }
+    const auto missing = std::find_if(costs->second.begin(), costs->second.end(), [&](const auto &entry) {
+        return entry.second.share >= neededShare && !isReachable(entry.first);
+    });
+    return missing == costs->second.end() ? std::nullopt : std::optional<ServiceName>(missing->first);
+}
+
 std::optional<ServiceName> EntryAdmission::refusedBy(const Request &request, TimePoint now) const
 {
     const auto costs = m_costs.find(request.operation);
@@ -61,8 +78,8 @@
     }
     const double worth = std::floor(request.rank);
     const double fraction = request.rank - worth;
-    for (const auto &[service, seconds] : costs->second) {
-        if (seconds < leastCost) {
+    for (const auto &[service, cost] : costs->second) {
+        if (cost.seconds < leastCost) {
             continue;
         }
         const double refused = 1 - admittedShare(clearing(service, now), static_cast<int>(worth));
--- a/src/chervilpaddle/controllers/entryadmission.h
+++ b/src/chervilpaddle/controllers/entryadmission.h
@@ -4,6 +4,7 @@
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/peer/messages.h>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,6 +37,11 @@
     //! Forgets instances that are not in the set.
     void retain(const std::set<InstanceId> &instances);
 
+    //! A service that nearly every request of the operation needs and that cannot be reached; nothing where there is none.
+    //! Answers a data centre that is cut off from the only instances of a service deep in the tree: what would fail after
+    //! it has run in part is better refused as not run, as its caller may then come back.
+    std::optional<ServiceName> unreachable(const OperationName &operation,
+                                           const std::function<bool(const ServiceName &)> &isReachable) const;
     //! The service that has no room for the request; nothing where it is admitted.
     std::optional<ServiceName> refusedBy(const Request &request, TimePoint now) const;
     //! The clearing rank of a service, over its instances; zero where there is room for all.
@@ -47,7 +53,14 @@
         Rank clearing = 0;
         TimePoint updated;
     };
-    using Costs = std::map<ServiceName, double>;
+    struct Cost
+    {
+        //! Time that a request's tree holds a slot of the service.
+        double seconds = 0;
+        //! The part of the requests whose tree needs it at all.
+        double share = 1;
+    };
+    using Costs = std::map<ServiceName, Cost>;
 
     std::unordered_map<OperationName, Costs> m_costs;
     std::map<ServiceName, std::map<InstanceId, Report>> m_reports;
--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -8,10 +8,24 @@
 
 //! The share of calls that are let through though they cannot pay, so that a fallen price is noticed.
 constexpr double trickleShare = 0.01;
-//! Above this part of its slots an instance of the own data centre is compared with those of the others.
+//! Below this part of its slots a call starts at once; above it a call is likely to wait, the longer the more is there,
+//! and the own data centre is compared with the others by load.
 constexpr double fullLoad = 0.85;
+constexpr double costOfLoad = 0.1;
+constexpr double costOfFullLoad = 3;
 //! How much emptier an instance of another data centre must be to be preferred.
 constexpr double remoteLoadMargin = 0.1;
+//! How much faster it must be: its links are slower and their bytes dear, and some milliseconds decide for no caller.
+constexpr double remoteFactor = 1.1;
+constexpr double remoteSeconds = 0.05;
+//! One pick in so many of an operation tries an instance of which nothing is known, or that was not tried for long.
+constexpr std::uint64_t picksPerFirstTrial = 4;
+constexpr std::uint64_t picksPerTrial = 32;
+constexpr Duration forecastAge = std::chrono::seconds(4);
+//! What a failed call costs its caller: it has to ask again, or all that was done for it is lost.
+constexpr double failureSeconds = 0.3;
+//! Assumed of an operation that nobody was seen to answer.
+constexpr double unknownSeconds = 0.05;
 constexpr Duration loadLifetime = std::chrono::milliseconds(500);
 
 std::vector<InstanceId> idsOf(const std::vector<Candidate> &candidates)
@@ -47,12 +61,15 @@
     if (near.empty() && far.empty()) {
         return {nullptr, Refusal::NoInstance};
     }
-    const Candidate *nearest = pickFrom(near, question, now);
-    if (nearest != nullptr && (far.empty() || hasRoom(*nearest, now))) {
-        return {nearest, Refusal::None};
+    std::vector<const Candidate *> all = near;
+    all.insert(all.end(), far.begin(), far.end());
+    if (const Candidate *trial = trialFrom(all, question, now); trial != nullptr) {
+        return {trial, Refusal::None};
     }
-    const Candidate *remote = pickFrom(far, question, now);
-    if (nearest != nullptr && (remote == nullptr || loadOf(*nearest, now) <= loadOf(*remote, now) + remoteLoadMargin)) {
+    const double usual = usualSeconds(candidates, question.operation);
+    const Candidate *nearest = pickFrom(near, question, usual, now);
+    const Candidate *remote = pickFrom(far, question, usual, now);
+    if (nearest != nullptr && (remote == nullptr || !isBetter(*remote, *nearest, question.operation, usual, now))) {
         return {nearest, Refusal::None};
     }
     if (remote != nullptr) {
@@ -65,7 +82,7 @@
     return {nullptr, Refusal::Price};
 }
 
-const Candidate *InstancePicker::pickFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now)
+const Candidate *InstancePicker::pickFrom(const std::vector<const Candidate *> &pool, const Question &question, double usual, TimePoint now)
 {
     std::vector<const Candidate *> payable;
     std::copy_if(
@@ -73,14 +90,73 @@
     if (payable.empty()) {
         return nullptr;
     }
-    const Candidate *first = payable[uniformIndex(m_random, payable.size())];
-    const Candidate *second = payable[uniformIndex(m_random, payable.size())];
-    const double firstLoad = loadOf(*first, now);
-    const double secondLoad = loadOf(*second, now);
-    if (firstLoad == secondLoad) {
+    if (payable.size() == 1) {
+        return payable.front();
+    }
+    const std::size_t firstIndex = uniformIndex(m_random, payable.size());
+    const std::size_t step = 1 + uniformIndex(m_random, payable.size() - 1);
+    const Candidate *first = payable[firstIndex];
+    const Candidate *second = payable[(firstIndex + step) % payable.size()];
+    const double firstCost = costOf(*first, question.operation, usual, now);
+    const double secondCost = costOf(*second, question.operation, usual, now);
+    if (firstCost == secondCost) {
         return inFlight(second->instance) < inFlight(first->instance) ? second : first;
     }
-    return secondLoad < firstLoad ? second : first;
+    return secondCost < firstCost ? second : first;
+}
+
+//! The instance whose forecast is the least certain, where it is time for a trial and it can pay.
+const Candidate *InstancePicker::trialFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now)
+{
+    const std::uint64_t pick = ++m_picks[question.operation];
+    if (pick % picksPerFirstTrial != 0) {
+        return nullptr;
+    }
+    const auto updated = [&](const Candidate *candidate) {
+        return m_forecast.updated(candidate->instance, question.operation).value_or(TimePoint::min());
+    };
+    const Candidate *oldest = nullptr;
+    for (const Candidate *candidate : pool) {
+        const bool isTried = inFlight(candidate->instance) > 0 && updated(candidate) == TimePoint::min();
+        if (!isTried && canPay(*candidate, question, now) && (oldest == nullptr || updated(candidate) < updated(oldest))) {
+            oldest = candidate;
+        }
+    }
+    if (oldest == nullptr || loadOf(*oldest, now) >= fullLoad) {
+        return nullptr;
+    }
+    const bool isUnknown = updated(oldest) == TimePoint::min();
+    const bool isOld = !isUnknown && now - updated(oldest) > forecastAge;
+    return isUnknown || (isOld && pick % picksPerTrial == 0) ? oldest : nullptr;
+}
+
+bool InstancePicker::isBetter(
+    const Candidate &remote, const Candidate &nearest, const OperationName &operation, double usual, TimePoint now) const
+{
+    const bool isEmptier = loadOf(nearest, now) >= fullLoad && loadOf(nearest, now) > loadOf(remote, now) + remoteLoadMargin;
+    const double nearestCost = costOf(nearest, operation, usual, now);
+    return isEmptier || nearestCost > remoteFactor * costOf(remote, operation, usual, now) + remoteSeconds;
+}
+
+//! What the fastest instance takes: an instance of which nothing is known is taken to be as fast.
+double InstancePicker::usualSeconds(const std::vector<Candidate> &candidates, const OperationName &operation) const
+{
+    std::optional<double> least;
+    for (const Candidate &candidate : candidates) {
+        if (const auto seconds = m_forecast.seconds(candidate.instance, operation); seconds) {
+            least = std::min(least.value_or(*seconds), *seconds);
+        }
+    }
+    return least.value_or(unknownSeconds);
+}
+
+//! Seconds that a call sent there is worth to its caller.
+double InstancePicker::costOf(const Candidate &candidate, const OperationName &operation, double usual, TimePoint now) const
+{
+    const double seconds = m_forecast.seconds(candidate.instance, operation).value_or(usual);
+    const double load = loadOf(candidate, now);
+    const double waiting = costOfLoad * load + costOfFullLoad * std::max(0.0, load - fullLoad);
+    return seconds * (1 + waiting) + failureSeconds * m_forecast.failureShare(candidate.instance, now);
 }
 
 void InstancePicker::recordLoad(const InstanceId &instance, double load, TimePoint now)
@@ -95,11 +171,6 @@
     return load == m_loads.end() || now - load->second.updated > loadLifetime ? 0 : load->second.value;
 }
 
-bool InstancePicker::hasRoom(const Candidate &candidate, TimePoint now) const
-{
-    return loadOf(candidate, now) < fullLoad;
-}
-
 bool InstancePicker::canPay(const Candidate &candidate, const Question &question, TimePoint now) const
 {
     return question.ignorePrice || m_prices.price(candidate.instance, question.operation, now) <= question.rank;
@@ -138,6 +209,11 @@
     return m_ejection;
 }
 
+CompletionForecast &InstancePicker::forecast()
+{
+    return m_forecast;
+}
+
 Rank InstancePicker::lowestPrice(const std::vector<Candidate> &candidates, const OperationName &operation, TimePoint now) const
 {
     Rank lowest = 0;
--- a/src/chervilpaddle/controllers/instancepicker.h
+++ b/src/chervilpaddle/controllers/instancepicker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilpaddle/base/random.h>
+#include <chervilpaddle/controllers/completionforecast.h>
 #include <chervilpaddle/controllers/ejection.h>
 #include <chervilpaddle/controllers/pricetable.h>
 
@@ -21,8 +22,9 @@
     BackendId backend = BackendId();
 };
 
-//! Chooses an executor for a call: the less loaded of two random instances of the own data centre that the call
-//! can pay, else one of another data centre (power of two choices, Mitzenmacher 2001). Not thread safe.
+//! Chooses an executor for a call: of two random instances of the own data centre that the call can pay the one where
+//! it costs less time, unless another data centre is clearly better (power of two choices, Mitzenmacher 2001). Not thread
+//! safe.
 class InstancePicker
 {
 public:
@@ -59,28 +61,34 @@
     PriceTable &prices();
     const PriceTable &prices() const;
     Ejection &ejection();
+    CompletionForecast &forecast();
 
     //! The lowest price among the candidates: what a call must be able to pay somewhere.
     Rank lowestPrice(const std::vector<Candidate> &candidates, const OperationName &operation, TimePoint now) const;
 
 private:
-    const Candidate *pickFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now);
+    const Candidate *pickFrom(const std::vector<const Candidate *> &pool, const Question &question, double usual, TimePoint now);
+    const Candidate *trialFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now);
+    bool isBetter(const Candidate &remote, const Candidate &nearest, const OperationName &operation, double usual, TimePoint now) const;
+    double usualSeconds(const std::vector<Candidate> &candidates, const OperationName &operation) const;
+    double costOf(const Candidate &candidate, const OperationName &operation, double usual, TimePoint now) const;
     struct Load
     {
         double value = 0;
         TimePoint updated;
     };
 
-    bool hasRoom(const Candidate &candidate, TimePoint now) const;
     double loadOf(const Candidate &candidate, TimePoint now) const;
     bool canPay(const Candidate &candidate, const Question &question, TimePoint now) const;
 
     DataCentreName m_ownDataCentre;
     RandomSource m_random;
+    std::unordered_map<OperationName, std::uint64_t> m_picks;
     std::unordered_map<InstanceId, int> m_inFlight;
     std::unordered_map<InstanceId, Load> m_loads;
     PriceTable m_prices;
     Ejection m_ejection;
+    CompletionForecast m_forecast;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -11,10 +11,12 @@
 //! Three heartbeats of a busy link. With one tick more and the new link, a call of 400 ms is still carried over in time.
 constexpr Duration busySilence = std::chrono::milliseconds(300);
 constexpr Duration idleSilence = std::chrono::seconds(16);
-constexpr Duration helloTimeout = std::chrono::milliseconds(500);
+//! Many times what a link across regions takes; calls that may be repeated are given up when it has passed.
+constexpr Duration helloTimeout = std::chrono::milliseconds(250);
 constexpr Duration firstRedial = std::chrono::milliseconds(50);
 constexpr Duration seedRedial = std::chrono::milliseconds(500);
-constexpr int mostDoublings = 4;
+//! A peer behind a cut is dialled about twice a second.
+constexpr int mostDoublings = 3;
 //! A longer gap between two ticks means that this process was paused.
 constexpr Duration pauseGap = std::chrono::milliseconds(250);
 
@@ -121,7 +123,7 @@
     const bool isReplacement = peer.incarnation.value() != 0 && peer.incarnation != hello.incarnation;
     peer.current = id;
     peer.dialing.reset();
-    peer.inDoubt = false;
+    peer.doubtSince.reset();
     peer.failures = 0;
     peer.incarnation = hello.incarnation;
     if (isReplacement) {
@@ -253,19 +255,17 @@
     peer.busySince = busy ? peer.busySince.value_or(now) : std::optional<TimePoint>();
     const TimePoint lastHeard = connection->second.lastHeard;
     const bool silentWhileBusy = busy && now - std::max(lastHeard, *peer.busySince) > busySilence;
-    const bool silent = silentWhileBusy || now - lastHeard > idleSilence;
-    if (!silent) {
-        if (peer.inDoubt) {
-            peer.inDoubt = false;
-            m_candidatesStale = true;
-        }
-        return;
-    }
-    if (!peer.inDoubt) {
-        peer.inDoubt = true;
+    const bool isSilent = silentWhileBusy || now - lastHeard > idleSilence;
+    // That nothing waits any more does not mean that the link works: only what is heard takes the doubt away.
+    const bool hasSpoken = peer.doubtSince && lastHeard > *peer.doubtSince;
+    if (isSilent && !peer.doubtSince) {
+        peer.doubtSince = now;
+        m_candidatesStale = true;
+    } else if (!isSilent && hasSpoken) {
+        peer.doubtSince.reset();
         m_candidatesStale = true;
     }
-    if (now >= peer.nextDial) {
+    if (peer.doubtSince && now >= peer.nextDial) {
         startDial(peer, now);
     }
 }
@@ -383,7 +383,7 @@
         }
         m_candidates[m_ownService].push_back(m_self);
         for (const auto &[instance, peer] : m_peers) {
-            if (peer.current && !peer.inDoubt) {
+            if (peer.current && !peer.doubtSince) {
                 const bool draining = peer.draining || peer.published.leaving;
                 m_candidates[peer.published.service].push_back(
                     {instance, peer.incarnation, peer.published.dataCentre, draining, peer.published.backend});
@@ -414,7 +414,8 @@
 {
     std::vector<LinkState> states;
     for (const auto &[instance, peer] : m_peers) {
-        LinkState state{instance, peer.incarnation, peer.current.has_value(), peer.inDoubt, peer.draining, peer.failures, {}};
+        LinkState state{
+            instance, peer.incarnation, peer.current.has_value(), peer.doubtSince.has_value(), peer.draining, peer.failures, {}};
         if (peer.current) {
             if (const auto connection = m_connections.find(*peer.current); connection != m_connections.end()) {
                 state.silence = m_hooks.clock() - connection->second.lastHeard;
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -122,8 +122,8 @@
         bool wanted = true;
         std::optional<ConnectionId> current;
         std::optional<ConnectionId> dialing;
-        //! The link is silent though calls wait: no new ones go there.
-        bool inDoubt = false;
+        //! Since when the link has been silent though calls waited: no new ones go there until it is heard again.
+        std::optional<TimePoint> doubtSince;
         //! Since when calls have been waiting without a break; before that nothing had to be heard soon.
         std::optional<TimePoint> busySince;
         bool draining = false;
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -12,6 +12,9 @@
 //! How often a call that no backend server has seen is sent on to another instance.
 constexpr int mostFreeMoves = 3;
 
+//! Up to this share of failed calls of an instance a failure counts as chance.
+constexpr double rareFailureShare = 0.1;
+
 bool isRefusalWorthRepeating(ResultCode code)
 {
     switch (code) {
@@ -143,6 +146,7 @@
     message.payload = pending.call.payload;
     message.allowance = pending.call.lendsAllowance ? pending.call.allowance->lend() : 0;
     pending.message = message;
+    pending.sentAt = m_hooks.clock();
     pending.lastExecutor = ticket.executor;
     pending.lent = message.allowance;
     m_callOfTicket[ticket.id] = id;
@@ -222,6 +226,7 @@
     m_picker.prices().record(instance, pending.call.context.operation, answer.price, m_hooks.clock());
     pending.costs.insert(pending.costs.end(), answer.costs.begin(), answer.costs.end());
     recordHealth(instance, answer.code);
+    recordForecast(pending, answer.code);
     attemptEnded(id, answer.code, answer.payload);
 }
 
@@ -233,13 +238,14 @@
         pending.mayHaveRun = true;
     }
     if (!mayRepeat(pending, code)) {
-        // A refused repeat does not undo an earlier attempt that may have run.
-        const bool earlierMayHaveRun = outcomeOf(code) == Outcome::NotRun && outcomeOf(pending.lastCode) == Outcome::Unknown;
-        const ResultCode final = earlierMayHaveRun ? pending.lastCode : code;
-        finish(id, final, payload);
+        // A refused repeat does not undo an earlier attempt that has or may have run.
+        const bool isEarlierKept = outcomeOf(code) == Outcome::NotRun && pending.mayHaveRun;
+        const ResultCode final = isEarlierKept ? pending.lastCode : code;
+        const Payload answer = isEarlierKept ? pending.lastPayload : payload;
+        finish(id, final, answer);
         return;
     }
-    if (outcomeOf(pending.lastCode) != Outcome::Unknown || outcomeOf(code) != Outcome::NotRun) {
+    if (!pending.mayHaveRun || outcomeOf(code) != Outcome::NotRun) {
         pending.lastCode = code;
         pending.lastPayload = payload;
     }
@@ -260,7 +266,7 @@
     if (!m_options.policy.allowance) {
         return safe && payForRepeat(pending, code);
     }
-    const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code);
+    const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code) || isChanceFailure(pending, code);
     if (!safe || !useful) {
         return false;
     }
@@ -269,6 +275,16 @@
     return choose(pending, refusal) != nullptr && payForRepeat(pending, code);
 }
 
+//! A failure of the backend server's own is worth another try where it is rare; where many fail, their repeats would only
+//! add to the load.
+bool Router::isChanceFailure(const Pending &pending, ResultCode code)
+{
+    if (code != ResultCode::DoneWithError || !pending.call.freeMoves) {
+        return false;
+    }
+    return m_picker.forecast().failureShare(pending.lastExecutor, m_hooks.clock()) <= rareFailureShare;
+}
+
 bool Router::payForRepeat(Pending &pending, ResultCode code)
 {
     if (pending.call.freeMoves && isRefusedBeforeBackend(code)) {
@@ -310,6 +326,7 @@
     if (found == m_pending.end()) {
         return;
     }
+    recordForecast(found->second, ResultCode::DeadlineWhileRunning);
     sendCancel(found->second);
     finish(id, ResultCode::DeadlineWhileRunning, {});
 }
@@ -336,6 +353,7 @@
     }
     m_picker.prices().forget(instance);
     m_picker.ejection().forget(instance);
+    m_picker.forecast().forget(instance);
 }
 
 void Router::instanceRelinked(const InstanceId &instance)
@@ -398,6 +416,25 @@
     }
 }
 
+//! A quick failure must not make an instance look fast.
+void Router::recordForecast(const Pending &pending, ResultCode code)
+{
+    if (!pending.message || isRefusedBeforeBackend(code) || code == ResultCode::DeadlinePast) {
+        return;
+    }
+    const TimePoint now = m_hooks.clock();
+    const InstanceId &instance = pending.message->ticket.executor;
+    const Duration elapsed = now - pending.sentAt;
+    CompletionForecast &forecast = m_picker.forecast();
+    if (code == ResultCode::Done) {
+        forecast.recordAnswer(instance, pending.call.context.operation, elapsed, now);
+    } else {
+        forecast.recordUnanswered(instance, pending.call.context.operation, elapsed, now);
+    }
+    // That its time is up is no fault of the instance beyond being slow.
+    forecast.recordOutcome(instance, code != ResultCode::Done && code != ResultCode::DeadlineWhileRunning, now);
+}
+
 void Router::closeAttempt(Pending &pending)
 {
     if (!pending.message) {
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -28,7 +28,8 @@
     std::optional<Ticket> boundTicket;
     //! The caller says that it presents the ticket for the first time: unless it goes out from here, it has not run.
     bool isFirstPresentation = false;
-    //! A call that no backend server has seen may be sent elsewhere without spending allowance.
+    //! A plain HTTP call: what no backend server has seen may be sent elsewhere without spending allowance, and a backend
+    //! server's own rare failure may be repeated.
     bool freeMoves = false;
     //! Whether the backend server's own calls may spend from the allowance.
     bool lendsAllowance = true;
@@ -126,6 +127,7 @@
         std::vector<ServiceCost> costs;
         //! The attempt in progress.
         std::optional<CallMessage> message;
+        TimePoint sentAt;
         int lent = 0;
     };
 
@@ -136,11 +138,13 @@
     const Candidate *linked(const ServiceName &service, const InstanceId &instance) const;
     void attemptEnded(CallId id, ResultCode code, const Payload &payload);
     bool mayRepeat(Pending &pending, ResultCode code);
+    bool isChanceFailure(const Pending &pending, ResultCode code);
     bool payForRepeat(Pending &pending, ResultCode code);
     void finish(CallId id, ResultCode code, const Payload &payload);
     void deadlinePassed(CallId id);
     void sendCancel(const Pending &pending);
     void recordHealth(const InstanceId &instance, ResultCode code);
+    void recordForecast(const Pending &pending, ResultCode code);
     void closeAttempt(Pending &pending);
     std::vector<CallId> outstandingAt(const InstanceId &instance) const;
 
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -239,7 +239,7 @@
                           m_clock(),
                           incoming.patience.value_or(defaultPatience),
                           parent != nullptr ? parent->id : RunId()};
-    if (parent == nullptr && isRefusedAtEntry(entered, hasReturned(incoming, route))) {
+    if (parent == nullptr && (isRefusedAsUnreachable(entered) || isRefusedAtEntry(entered, hasReturned(incoming, route)))) {
         return;
     }
     OutboundCall outbound = outboundFor(incoming, route, target, parent);
@@ -289,7 +289,28 @@
                     + (hasReturned ? ", returned" : "")});
     CallResult result;
     result.code = ResultCode::Overloaded;
-    ended(entered, result);
+    answer(entered, result);
+    return true;
+}
+
+bool MeshCore::isRefusedAsUnreachable(const Entered &entered)
+{
+    const auto isReachable = [this](const ServiceName &service) {
+        const auto &candidates = m_links->candidates(service);
+        return std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return !candidate.draining; });
+    };
+    const auto service = m_admission.unreachable(entered.operation, isReachable);
+    if (!service) {
+        return false;
+    }
+    m_log.info({"request refused at the entry",
+                ResultCode::NoInstance,
+                entered.request,
+                "route " + entered.route->name.value() + ", no instance of " + service->value() + " can be reached, instances "
+                    + std::to_string(m_instancesMirror->lastChange().value())});
+    CallResult result;
+    result.code = ResultCode::NoInstance;
+    answer(entered, result);
     return true;
 }
 
@@ -315,17 +336,21 @@
 
 void MeshCore::ended(const Entered &entered, const CallResult &result)
 {
-    const Outcome outcome = outcomeOf(result.code);
-    ++(outcome == Outcome::Done ? m_counters.served : outcome == Outcome::NotRun ? m_counters.refused : m_counters.failed);
     if (entered.parent != RunId()) {
         m_executor->addCosts(entered.parent, result.costs);
     } else if (result.code == ResultCode::Done) {
         m_admission.recordCosts(entered.operation, worthOf(*entered.route).value(), result.costs);
     }
-    // A refusal at the entry has been logged with what decided it.
-    if (outcome != Outcome::Done && result.code != ResultCode::Overloaded) {
+    if (result.code != ResultCode::Done) {
         logOutcome(entered, result);
     }
+    answer(entered, result);
+}
+
+void MeshCore::answer(const Entered &entered, const CallResult &result)
+{
+    const Outcome outcome = outcomeOf(result.code);
+    ++(outcome == Outcome::Done ? m_counters.served : outcome == Outcome::NotRun ? m_counters.refused : m_counters.failed);
     entered.exchange->respond(m_dialect.response(entered.request, result, comeBackAfter(entered, result)));
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -87,10 +87,14 @@
     OutboundCall outboundFor(const IncomingCall &incoming, const Route &route, const RouteTarget &target, const Run *parent) const;
     //! Answers and logs a request whose call tree has no room.
     bool isRefusedAtEntry(const Entered &entered, bool hasReturned);
+    //! Answers and logs a request whose call tree lacks a service.
+    bool isRefusedAsUnreachable(const Entered &entered);
     bool hasReturned(const IncomingCall &incoming, const Route &route);
     void publishClearing();
     void takeClearing(const InstanceId &instance, Rank clearing);
+    //! Takes the end of a call: what it cost, a log line where it was not served, the answer.
     void ended(const Entered &entered, const CallResult &result);
+    void answer(const Entered &entered, const CallResult &result);
     void logOutcome(const Entered &entered, const CallResult &result);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &request, ResultCode code, const std::string &detail);
     std::optional<Duration> comeBackAfter(const Entered &entered, const CallResult &result);
--- a/tests/controllers/entryadmission.cpp
+++ b/tests/controllers/entryadmission.cpp
@@ -57,6 +57,26 @@
     cr_assert_float_eq(under.refusedShare(apart, 10), 0, 1e-9);
 }
 
+//! A data centre is cut off from the only instances of the inner service.
+Test(entryadmission, what_surely_needs_a_service_that_cannot_be_reached_is_refused_at_once)
+{
+    Admission under;
+    const auto isReachable = [](const ServiceName &service) { return service != inner; };
+    cr_assert(under.admission.unreachable(shallow, isReachable) == inner);
+    cr_assert(under.admission.unreachable(deep, isReachable) == inner);
+    cr_assert(!under.admission.unreachable(apart, isReachable));
+    cr_assert(!under.admission.unreachable(OperationName("never.seen"), isReachable));
+    cr_assert(!under.admission.unreachable(deep, [](const ServiceName &) { return true; }));
+    // One request in five does without it: those that can be served are let through.
+    for (int i = 0; i < 100; ++i) {
+        under.admission.recordCosts(deep, 10, {{ServiceName("outer"), 0.3}});
+        for (int j = 0; j < 4; ++j) {
+            under.admission.recordCosts(deep, 10, {{ServiceName("outer"), 0.3}, {inner, 0.44}});
+        }
+    }
+    cr_assert(!under.admission.unreachable(deep, isReachable));
+}
+
 Test(entryadmission, an_instance_with_room_counts_as_one_that_refuses_nothing)
 {
     Admission under;
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -203,6 +203,29 @@
     cr_assert_geq(bench.suspects, 1, "the raced link was never answered");
 }
 
+//! A data centre is cut off for six seconds. Calls that wait there are given up and go elsewhere, after which nothing waits;
+//! that must not bring new calls to the same dead link.
+Test(links, a_cut_off_peer_gets_no_new_calls_until_it_is_heard_again)
+{
+    LinkBench bench;
+    const ConnectionId id = bench.openLink();
+    bench.outstanding = true;
+    bench.tickFor(std::chrono::milliseconds(500));
+    cr_assert_eq(bench.candidateCount(), 0);
+    bench.outstanding = false;
+    for (int i = 0; i < 110; ++i) {
+        bench.tickFor(std::chrono::milliseconds(50));
+        cr_assert_eq(bench.candidateCount(), 0, "after %d ms", 50 * i);
+    }
+    cr_assert_geq(bench.dials.size(), 5, "it is tried again all the while");
+    const std::size_t dialsInCut = bench.dials.size();
+    bench.tickFor(std::chrono::milliseconds(1600));
+    cr_assert_gt(bench.dials.size(), dialsInCut, "a healed cut is noticed soon");
+    bench.receive(id, StatusMessage());
+    bench.tickFor(std::chrono::milliseconds(50));
+    cr_assert_eq(bench.candidateCount(), 1);
+}
+
 Test(links, a_peer_that_cannot_be_reached_is_suspect)
 {
     LinkBench bench;
