--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -15,9 +15,9 @@
 constexpr double costOfFullLoad = 3;
 //! How much emptier an instance of another data centre must be to be preferred.
 constexpr double remoteLoadMargin = 0.1;
-//! How much faster it must be: its links are slower and their bytes dear, and some milliseconds decide for no caller.
+//! How much faster it must be: its bytes are dear, and a tenth of a second decides for few callers.
 constexpr double remoteFactor = 1.1;
-constexpr double remoteSeconds = 0.05;
+constexpr double remoteSeconds = 0.15;
 //! One pick in so many of an operation tries an instance of which nothing is known, or that was not tried for long.
 constexpr std::uint64_t picksPerFirstTrial = 4;
 constexpr std::uint64_t picksPerTrial = 32;
--- a/src/chervilpaddle/controllers/repeatbudget.h
+++ b/src/chervilpaddle/controllers/repeatbudget.h
@@ -10,7 +10,8 @@
 
 //! Limits what a service gets beyond the first arrival of each request, over all nodes and in any window, without
 //! the nodes talking of it: each node spends only its part. The sum of the parts keeps to
-//! `ratio` x requests + `slack`, whatever each node believes of the others. Not thread safe.
+//! `ratio` x requests + `slack`, whatever each node believes of the others. Answers the load of backend servers that lose
+//! or refuse many calls: what is most urgent may spend all of it, the rest leaves a part. Not thread safe.
 class RepeatBudget
 {
 public:
@@ -27,18 +28,26 @@
 
     //! Sets the number of nodes among which the slack is divided.
     void setNodes(std::size_t nodes);
-    //! Notes a request for the service.
-    void recordRequest(const ServiceName &service);
-    //! Takes one repeat out of the service's budget; false where there is none left.
-    bool spend(const ServiceName &service);
+    //! Notes a request for the service and its worth.
+    void recordRequest(const ServiceName &service, int worth);
+    //! Notes a call that counts as a repeat though nobody asks for it here: its parent's run was one.
+    void recordInherited(const ServiceName &service);
+    //! Takes one repeat out of the service's budget; false where there is none left for a call of this worth.
+    bool spend(const ServiceName &service, int worth);
 
 private:
     struct Account
     {
         std::deque<TimePoint> requests;
         std::deque<TimePoint> repeats;
+        //! Those of them that were of less than the highest worth.
+        std::deque<TimePoint> lesser;
+        //! The highest worth asked for, and when it was last seen.
+        int highestWorth = 0;
+        TimePoint highestSeen;
     };
 
+    void noteWorth(Account &account, int worth, TimePoint now) const;
     void forget(std::deque<TimePoint> &times, TimePoint now) const;
 
     Options m_options;
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -163,7 +163,7 @@
     hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
     hooks.candidates = [this](const ServiceName &service) -> const std::vector<Candidate> & { return m_links->candidates(service); };
     hooks.send = [this](const InstanceId &instance, const PeerMessage &message) { return sendToInstance(instance, message); };
-    hooks.payRepeat = [this](const ServiceName &service) { return m_repeats.spend(service); };
+    hooks.payRepeat = [this](const ServiceName &service, Rank rank) { return m_repeats.spend(service, static_cast<int>(rank)); };
     return hooks;
 }
 
@@ -249,7 +249,10 @@
         ended(entered, result);
         return;
     }
-    m_repeats.recordRequest(target.service);
+    m_repeats.recordRequest(target.service, static_cast<int>(outbound.context.rank));
+    if (outbound.context.branchRepeated) {
+        m_repeats.recordInherited(target.service);
+    }
     outbound.payload.head = incoming.head;
     outbound.payload.body = std::make_shared<const std::string>(exchange->takeBody());
     // A call may end before its number is known here; the caller's leaving then finds nothing to cancel.
@@ -326,6 +329,7 @@
         // A request ranks the same in all queues of its tree; the deeper calls go first, as more has been spent on them.
         call.context.rank = parent->call.context.rank;
         call.context.depth = parent->call.context.depth + 1;
+        call.context.branchRepeated = parent->call.context.branchRepeated;
         call.deadline = std::min(call.deadline, parent->deadline);
     }
     call.allowance = std::make_shared<Allowance>(std::max(0, route.attempts - 1));
--- a/tests/controllers/repeatbudget.cpp
+++ b/tests/controllers/repeatbudget.cpp
@@ -28,9 +28,9 @@
         const bool rush = i > 20'000 && i < 40'000;
         if (uniformFraction(random) < (rush ? 0.5 : 0.01)) {
             RepeatBudget &node = nodes[uniformIndex(random, nodes.size())];
-            node.recordRequest(service);
+            node.recordRequest(service, 1);
             requests.push_back(now);
-            if (node.spend(service)) {
+            if (node.spend(service, 1)) {
                 repeats.push_back(now);
             }
         }
@@ -47,8 +47,48 @@
 {
     TimePoint now;
     RepeatBudget budget({0.2, 10, std::chrono::seconds(10)}, [&now] { return now; });
-    while (budget.spend(ServiceName("a"))) { }
-    cr_assert(budget.spend(ServiceName("b")));
+    while (budget.spend(ServiceName("a"), 1)) { }
+    cr_assert(budget.spend(ServiceName("b"), 1));
     now += std::chrono::seconds(11);
-    cr_assert(budget.spend(ServiceName("a")));
+    cr_assert(budget.spend(ServiceName("a"), 1));
+}
+
+//! A repeated run makes its calls once more: they use up the budget of the service that they go to.
+Test(repeatbudget, calls_of_repeated_runs_count)
+{
+    const ServiceName service("a");
+    TimePoint now;
+    RepeatBudget budget({0.2, 10, std::chrono::seconds(10)}, [&now] { return now; });
+    for (int i = 0; i < 100; ++i) {
+        budget.recordRequest(service, 1);
+    }
+    for (int i = 0; i < 30; ++i) {
+        budget.recordInherited(service);
+    }
+    cr_assert(!budget.spend(service, 1));
+}
+
+//! Backend servers lose a third of all calls, as many as five times the budget: what is most urgent is rescued first.
+Test(repeatbudget, the_most_urgent_finds_something_left)
+{
+    const ServiceName service("a");
+    TimePoint now;
+    RepeatBudget budget({0.2, 0, std::chrono::seconds(10)}, [&now] { return now; });
+    RandomSource random(2);
+    constexpr int lesser = 8;
+    constexpr int urgent = 10;
+    int lost[2] = {};
+    int rescued[2] = {};
+    for (int i = 0; i < 20'000; ++i) {
+        now += std::chrono::milliseconds(2);
+        const int isUrgent = uniformFraction(random) < 0.15 ? 1 : 0;
+        const int worth = isUrgent != 0 ? urgent : lesser;
+        budget.recordRequest(service, worth);
+        if (uniformFraction(random) < 0.33) {
+            ++lost[isUrgent];
+            rescued[isUrgent] += budget.spend(service, worth) ? 1 : 0;
+        }
+    }
+    cr_expect_gt(rescued[1], 0.95 * lost[1], "%d of %d urgent ones", rescued[1], lost[1]);
+    cr_expect_gt(rescued[0], 0.2 * lost[0], "%d of %d others", rescued[0], lost[0]);
 }
