Process tests of the whole path over plain HTTP, with a stand-in store and plain backend servers

The world judges from what callers and backend servers saw: own answers, true refusals, at most once, nothing passed on and cut off, drains and routes in force within two seconds. A stop with nothing in flight no longer logs that it gives up work (found by mesh_stop).

--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -156,16 +156,16 @@
         m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
             const bool isIdle = m_core.isIdle() && m_callers.isQuiet(callersRest);
             if (m_core.isStopOver(isIdle)) {
-                finishStop(isIdle);
+                finishStop();
             } else {
                 pollStop();
             }
         });
     }
 
-    void finishStop(bool isDone)
+    void finishStop()
     {
-        if (!isDone) {
+        if (!m_core.isIdle()) {
             m_log.warn(
                 {"stop gives up work in flight",
                  ResultCode::ExecutorGone,
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,4 +1,5 @@
 #include "judge.h"
+#include "meshworld.h"
 #include "standinbackend.h"
 #include "standinplatform.h"
 #include "standinrelay.h"
@@ -109,6 +110,22 @@
     return runUntilSignal(context);
 }
 
+int runMesh(const MeshWorldOptions &options)
+{
+    boost::asio::io_context context;
+    MeshWorld world(context, options);
+    if (const std::error_code error = world.listen(); error) {
+        return reportError(error);
+    }
+    int brokenPromises = 0;
+    world.play([&](int broken) {
+        brokenPromises = broken;
+        context.stop();
+    });
+    runUntilSignal(context);
+    return brokenPromises == 0 ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -144,7 +161,21 @@
     judgeCommand->add_option("--once", judgement.once);
     judgeCommand->add_option("--most-starts", judgement.mostStarts);
 
+    MeshWorldOptions mesh;
+    double meshSeconds = 8;
+    auto *meshCommand = app.add_subcommand("mesh", "The store, backend servers and callers round nodes that serve plain HTTP");
+    meshCommand->add_option("--port", mesh.port, "The first of six ports")->required();
+    meshCommand->add_option("--seconds", meshSeconds);
+    meshCommand->add_option("--rate", mesh.requestsPerSecond);
+    meshCommand->add_option("--seed", mesh.seed);
+    meshCommand->add_option("--events", mesh.events, "Of: drain, route, down, history");
+    meshCommand->add_option("--spare", mesh.sparedInstances, "Instances to which callers do not send");
+
     CLI11_PARSE(app, argc, argv);
+    if (*meshCommand) {
+        mesh.length = fromSeconds(meshSeconds);
+        return runMesh(mesh);
+    }
     if (*platformCommand) {
         return runPlatform(platform);
     }
--- /dev/null
+++ b/standins/plainbackend.cpp
@@ -0,0 +1,96 @@
+#include "plainbackend.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace chervilpaddle::standins {
+
+namespace {
+
+constexpr std::size_t largestBody = 1 * mebibyte;
+constexpr Duration callTimeout = std::chrono::seconds(2);
+
+} // namespace
+
+struct PlainBackend::Work
+{
+    std::shared_ptr<HttpExchange> exchange;
+    std::string request;
+    int callsLeft = 0;
+};
+
+PlainBackend::PlainBackend(boost::asio::io_context &context, Options options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_server({&context}, {m_options.address, largestBody}, [this](auto exchange) { handle(exchange); })
+    , m_node(context, {m_options.node, largestBody})
+{
+}
+
+std::error_code PlainBackend::listen()
+{
+    return m_server.listen();
+}
+
+const PlainBackend::Options &PlainBackend::options() const
+{
+    return m_options;
+}
+
+const std::vector<PlainBackend::RunRecord> &PlainBackend::runs() const
+{
+    return m_runs;
+}
+
+std::string PlainBackend::bodyFor(const std::string &request)
+{
+    return "answer to " + request;
+}
+
+void PlainBackend::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    auto work = std::make_shared<Work>();
+    work->exchange = exchange;
+    work->request = exchange->request().headers.valueOr("Request-Id", {});
+    work->callsLeft = m_options.calls;
+    const std::string *expected = exchange->request().headers.find("Expected-Instance");
+    if (work->request.empty() || (expected != nullptr && *expected != m_options.id)) {
+        HttpResponse response;
+        response.status = work->request.empty() ? 400 : 421;
+        response.headers.set("Not-Executed", "1");
+        exchange->respond(std::move(response));
+        return;
+    }
+    m_runs.push_back({work->request, exchange->request().target, steadyClock()()});
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_options.work);
+    timer->async_wait([this, timer, work](const boost::system::error_code & /*error*/) { callNext(work); });
+}
+
+void PlainBackend::callNext(const std::shared_ptr<Work> &work)
+{
+    if (work->callsLeft == 0) {
+        answer(*work, 200);
+        return;
+    }
+    const std::string id = work->request + "." + std::to_string(work->callsLeft--);
+    HttpRequest request;
+    request.target = m_options.callPath;
+    request.headers.set("Host", m_options.callHost);
+    request.headers.set("Request-Id", id);
+    request.headers.set("Deadline-Milliseconds", std::to_string(callTimeout / std::chrono::milliseconds(1)));
+    m_node.send(std::move(request), callTimeout, [this, work, id](const HttpResult &result) {
+        const bool isServed = result.stage == HttpStage::Whole && result.response.status == 200 && result.response.body == bodyFor(id);
+        isServed ? callNext(work) : answer(*work, 500);
+    });
+}
+
+void PlainBackend::answer(const Work &work, int status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Request-Id", work.request);
+    response.headers.set("Response-Signature", "signed by " + m_options.id);
+    response.body = status == 200 ? bodyFor(work.request) : "a call failed";
+    work.exchange->respond(std::move(response));
+}
+
+} // namespace chervilpaddle::standins
--- /dev/null
+++ b/standins/standinstore.cpp
@@ -0,0 +1,194 @@
+#include "standinstore.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace chervilpaddle::standins {
+
+namespace {
+
+constexpr std::size_t largestBody = 64 * kibibyte;
+//! Small, so that readers have to ask for further pages.
+constexpr std::size_t pageLength = 4;
+constexpr std::size_t base64Group = 4;
+
+std::string base64(const std::string &bytes)
+{
+    using namespace boost::archive::iterators;
+    using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Encoder(bytes.cbegin()), Encoder(bytes.cend()));
+    text.append((base64Group - text.size() % base64Group) % base64Group, '=');
+    return text;
+}
+
+//! The keys of these tests hold nothing that is percent-encoded.
+std::string queryValue(const std::string &query, const std::string &name)
+{
+    const auto at = query.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+}
+
+std::uint64_t queryNumber(const std::string &query, const std::string &name)
+{
+    return std::strtoull(queryValue(query, name).c_str(), nullptr, 10);
+}
+
+bool startsWith(const std::string &text, const std::string &prefix)
+{
+    return text.rfind(prefix, 0) == 0;
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set(headers::contentType, "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+nlohmann::json itemOf(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return {{"key", key}, {"value", base64(value)}, {"revision", revision}, {"created", revision}, {"lease", 0}};
+}
+
+} // namespace
+
+StandinStore::StandinStore(boost::asio::io_context &context, const Endpoint &address)
+    : m_context(context)
+    , m_server({&context}, {address, largestBody}, [this](auto exchange) { handle(exchange); })
+{
+}
+
+std::error_code StandinStore::listen()
+{
+    return m_server.listen();
+}
+
+void StandinStore::put(const std::string &key, const std::string &value)
+{
+    m_items[key] = {value, ++m_revision};
+    note({m_revision, key, value, false});
+}
+
+void StandinStore::remove(const std::string &key)
+{
+    m_items.erase(key);
+    note({++m_revision, key, {}, true});
+}
+
+void StandinStore::setDown(bool isDown)
+{
+    m_isDown = isDown;
+    if (!isDown) {
+        return;
+    }
+    for (const Watcher &watcher : m_watchers) {
+        watcher.timer->cancel();
+        watcher.exchange->respond(jsonResponse(503, "{}"));
+    }
+    m_watchers.clear();
+}
+
+void StandinStore::forgetHistory()
+{
+    m_history.clear();
+    m_oldestKnown = m_revision;
+}
+
+void StandinStore::note(Change change)
+{
+    m_history.push_back(std::move(change));
+    for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
+        const std::string changes = changesAfter(watcher->prefix, watcher->after, false);
+        if (changes.empty()) {
+            ++watcher;
+            continue;
+        }
+        watcher->timer->cancel();
+        watcher->exchange->respond(jsonResponse(200, changes));
+        watcher = m_watchers.erase(watcher);
+    }
+}
+
+void StandinStore::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string target = exchange->request().target;
+    const std::string query = target.substr(target.find('?') + 1);
+    if (m_isDown) {
+        exchange->respond(jsonResponse(503, "{}"));
+    } else if (startsWith(target, "/kv-range?")) {
+        handleRange(*exchange, query);
+    } else if (startsWith(target, "/kv-watch?")) {
+        handleWatch(exchange, query);
+    } else {
+        exchange->respond(jsonResponse(404, "{}"));
+    }
+}
+
+void StandinStore::handleRange(HttpExchange &exchange, const std::string &query)
+{
+    const std::string prefix = queryValue(query, "prefix");
+    const std::string after = queryValue(query, "after");
+    nlohmann::json items = nlohmann::json::array();
+    bool hasMore = false;
+    for (auto item = m_items.lower_bound(prefix); item != m_items.end() && startsWith(item->first, prefix); ++item) {
+        if (item->first <= after) {
+            continue;
+        }
+        if (items.size() == pageLength) {
+            hasMore = true;
+            break;
+        }
+        items.push_back(itemOf(item->first, item->second.value, item->second.revision));
+    }
+    const nlohmann::json page = {{"items", std::move(items)}, {"has_more", hasMore}, {"store_revision", m_revision}};
+    exchange.respond(jsonResponse(200, page.dump()));
+}
+
+void StandinStore::handleWatch(const std::shared_ptr<HttpExchange> &exchange, const std::string &query)
+{
+    const std::string prefix = queryValue(query, "prefix");
+    const std::uint64_t after = queryNumber(query, "after");
+    if (after < m_oldestKnown) {
+        exchange->respond(jsonResponse(410, "{}"));
+        return;
+    }
+    if (const std::string changes = changesAfter(prefix, after, false); !changes.empty()) {
+        exchange->respond(jsonResponse(200, changes));
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(queryNumber(query, "wait_ms")));
+    const auto watcher = m_watchers.insert(m_watchers.end(), {prefix, after, exchange, timer});
+    timer->async_wait([this, watcher](const boost::system::error_code &error) {
+        if (!error) {
+            watcher->exchange->respond(jsonResponse(200, changesAfter(watcher->prefix, watcher->after, true)));
+            m_watchers.erase(watcher);
+        }
+    });
+}
+
+std::string StandinStore::changesAfter(const std::string &prefix, std::uint64_t after, bool isEmptyWanted) const
+{
+    nlohmann::json events = nlohmann::json::array();
+    for (const Change &change : m_history) {
+        if (change.revision <= after || !startsWith(change.key, prefix)) {
+            continue;
+        }
+        events.push_back(change.isRemoved ? nlohmann::json{{"key", change.key}, {"revision", change.revision}, {"deleted", true}}
+                                          : itemOf(change.key, change.value, change.revision));
+    }
+    if (events.empty() && !isEmptyWanted) {
+        return {};
+    }
+    const nlohmann::json changes = {{"events", std::move(events)}, {"store_revision", m_revision}};
+    return changes.dump();
+}
+
+} // namespace chervilpaddle::standins
--- /dev/null
+++ b/tests/process/lib/mesh.sh
@@ -0,0 +1,56 @@
+# What the process tests of plain HTTP share: six nodes on loopback addresses of their own, and the world round them.
+source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
+
+mesh_names=(outer-1 outer-2 outer-3 inner-1 inner-2 spare-1)
+mesh_centres=(a b b a b a)
+mesh_port=${CHERVILPADDLE_PORT:-24000}
+
+# start_mesh_node NAME: the node beside that backend server.
+start_mesh_node() {
+    local i
+    for i in "${!mesh_names[@]}"; do [ "${mesh_names[$i]}" = "$1" ] && break; done
+    local address=127.0.0.$((11 + i))
+    cat >"$work/$1.ini" <<EOF
+[instance]
+id = $address
+service = ${1%-*}
+data_centre = ${mesh_centres[$i]}
+[listen]
+callers = $address:$((mesh_port + 1))
+peers = $address:$((mesh_port + 2))
+readiness = $address:$((mesh_port + 3))
+operators = $address:$((mesh_port + 4))
+[backend]
+address = $address:$((mesh_port + 5))
+[platform]
+address = 127.0.0.1:$mesh_port
+[repeats]
+ratio = 0.2
+slack = 50
+window_seconds = 10
+[process]
+interface = http
+stop_grace_seconds = 6
+[log]
+level = info
+format = json
+EOF
+    start "node-$1" "$binaries/apps/chervilpaddled" --settings "$work/$1.ini"
+}
+
+# start_mesh OPTIONS...: the world and all nodes; returns when the load has begun.
+start_mesh() {
+    start world "$binaries/standins/chervilpaddle-standin" mesh --port "$mesh_port" "$@"
+    local name
+    for name in "${mesh_names[@]}"; do start_mesh_node "$name"; done
+    until_true 20 grep -q "nodes are ready" "$work/world.out" || fail "the nodes did not come up"
+}
+
+# finish_mesh: waits for the verdict of the world.
+finish_mesh() {
+    wait "${pid_of[world]}"
+    local verdict=$?
+    unset "pid_of[world]"
+    cat "$work/world.out" "$work/world.log"
+    check "no promise was broken" [ $verdict -eq 0 ]
+}
