Let the nodes' watches end at different times

Change: each watch waits for 2 to 6 s at random, 4 s in the mean as before; the first node that notices tells the others. The wait is the mirror's decision now, not the adapter's.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -10,6 +10,10 @@
 //! The pause after the first failure; it doubles up to the longest, and is jittered, so that nodes do not ask together.
 constexpr Duration firstRetry = std::chrono::milliseconds(100);
 constexpr int mostDoublings = 2;
+//! How long the store holds a watch in which nothing happens: it bounds how long a silent connection goes unnoticed. Nodes
+//! wait for different times, so that where all connections fall silent at once some node notices soon and tells the others.
+constexpr Duration shortestWait = std::chrono::seconds(2);
+constexpr Duration longestWait = std::chrono::seconds(6);
 
 bool sameItems(const std::map<std::string, StoreItem> &a, const std::map<std::string, StoreItem> &b)
 {
@@ -80,7 +84,8 @@
 
 void PrefixMirror::watch()
 {
-    m_hooks.reader.watch(m_prefix, m_synced, [this](const StoreChanges &changes) { changesRead(changes); });
+    const Duration wait = shortestWait + fromSeconds(toSeconds(longestWait - shortestWait) * uniformFraction(m_random));
+    m_hooks.reader.watch(m_prefix, m_synced, wait, [this](const StoreChanges &changes) { changesRead(changes); });
 }
 
 void PrefixMirror::changesRead(const StoreChanges &changes)
--- a/src/chervilpaddle/controllers/storemessages.h
+++ b/src/chervilpaddle/controllers/storemessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 
 #include <functional>
@@ -53,7 +54,7 @@
     //! Items below the prefix with keys after the given one.
     std::function<void(const std::string &prefix, const std::string &afterKey, std::function<void(const StorePage &)>)> range;
     //! Waits for changes below the prefix that are newer than the revision.
-    std::function<void(const std::string &prefix, Revision after, std::function<void(const StoreChanges &)>)> watch;
+    std::function<void(const std::string &prefix, Revision after, Duration wait, std::function<void(const StoreChanges &)>)> watch;
 };
 
 } // namespace chervilpaddle
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -18,6 +18,7 @@
     struct Watch
     {
         Revision after;
+        Duration wait;
         std::function<void(const StoreChanges &)> reply;
     };
 
@@ -29,8 +30,8 @@
     std::vector<bool> availability;
     PrefixMirror mirror;
 
-    FakeStore()
-        : mirror("p/", hooks(), 1)
+    explicit FakeStore(std::uint64_t seed = 1)
+        : mirror("p/", hooks(), seed)
     {
     }
 
@@ -42,8 +43,8 @@
         hooks.reader.range = [this](const std::string & /*prefix*/, const std::string &afterKey, auto reply) {
             ranges.push_back({afterKey, std::move(reply)});
         };
-        hooks.reader.watch = [this](const std::string & /*prefix*/, Revision after, auto reply) {
-            watches.push_back({after, std::move(reply)});
+        hooks.reader.watch = [this](const std::string & /*prefix*/, Revision after, Duration wait, auto reply) {
+            watches.push_back({after, wait, std::move(reply)});
         };
         hooks.changed = [this] { ++changes; };
         hooks.availability = [this](bool isAnswering) { availability.push_back(isAnswering); };
@@ -140,3 +141,23 @@
     behind.events({{item("p/a", "older", 20), false}}, 20);
     cr_assert_str_eq(behind.mirror.items().at("p/a").value.c_str(), "new");
 }
+
+//! All connections to the store fall silent at once, just after a change has ended all watches. Some node notices within
+//! three seconds, whatever the others do, and none waits for more than six.
+Test(prefixmirror, watches_of_many_nodes_end_at_different_times)
+{
+    using namespace std::chrono_literals;
+    constexpr int nodes = 16;
+    Duration shortest = 1h;
+    Duration longest = 0s;
+    for (std::uint64_t seed = 0; seed < nodes; ++seed) {
+        FakeStore store(seed);
+        store.mirror.start();
+        store.page({}, 10);
+        store.events({}, 11);
+        shortest = std::min(shortest, store.watches.front().wait);
+        longest = std::max(longest, store.watches.front().wait);
+    }
+    cr_expect_leq(shortest, 3s);
+    cr_expect_leq(longest, 6s);
+}
