--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -353,8 +353,21 @@
 
 void MeshCore::answer(const Entered &entered, const CallResult &result)
 {
-    const Outcome outcome = outcomeOf(result.code);
-    ++(outcome == Outcome::Done ? m_counters.served : outcome == Outcome::NotRun ? m_counters.refused : m_counters.failed);
+    const Duration latency = m_clock() - entered.arrived;
+    switch (outcomeOf(result.code)) {
+    case Outcome::Done:
+        ++m_counters.served;
+        m_counters.servedLatency.record(latency);
+        break;
+    case Outcome::NotRun:
+        ++m_counters.refused;
+        m_counters.refusedLatency.record(latency);
+        break;
+    case Outcome::Unknown:
+        ++m_counters.failed;
+        m_counters.failedLatency.record(latency);
+        break;
+    }
     entered.exchange->respond(m_dialect.response(entered.request, result, comeBackAfter(entered, result)));
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chervilpaddle/base/latencyhistogram.h>
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
 #include <chervilpaddle/controllers/prefixmirror.h>
@@ -26,6 +27,10 @@
     std::uint64_t left = 0;
     std::uint64_t overloaded = 0;
     std::uint64_t unreadableEntries = 0;
+    //! From the arrival of a request to its answer, by what became of it.
+    LatencyHistogram servedLatency;
+    LatencyHistogram refusedLatency;
+    LatencyHistogram failedLatency;
 };
 
 //! Serves plain HTTP calls by routes that the platform publishes. Joins the controllers to each other and to the
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -3,6 +3,7 @@
 #include <chervilpaddle/mesh/meshcore.h>
 #include <chervilpaddle/node/nodecore.h>
 
+#include <limits>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
@@ -16,7 +17,7 @@
     std::string scrape(const NodeCore &core)
     {
         scrapeConfiguration(core);
-        return scrapeShared(core);
+        return scrapeShared(core, {});
     }
 
     std::string scrape(const MeshCore &core)
@@ -35,19 +36,48 @@
         gauge("chervilpaddle_instances_revision",
               "Last change of the instance list in force",
               static_cast<double>(core.instances().lastChange().value()));
-        return scrapeShared(core);
+        std::vector<prometheus::MetricFamily> latencies = {requestLatencies(counters)};
+        return scrapeShared(core, std::move(latencies));
     }
 
 private:
+    //! Straight from the core's histograms: prometheus-cpp's own would have to be fed on a request's path.
+    static prometheus::MetricFamily requestLatencies(const MeshCounters &counters)
+    {
+        prometheus::MetricFamily family;
+        family.name = "chervilpaddle_request_seconds";
+        family.help = "Time from a request's arrival to its answer";
+        family.type = prometheus::MetricType::Histogram;
+        family.metric = {latencyMetric("served", counters.servedLatency),
+                         latencyMetric("refused", counters.refusedLatency),
+                         latencyMetric("failed", counters.failedLatency)};
+        return family;
+    }
+
+    static prometheus::ClientMetric latencyMetric(const char *outcome, const LatencyHistogram &latency)
+    {
+        prometheus::ClientMetric metric;
+        metric.label = {{"outcome", outcome}};
+        metric.histogram.sample_count = latency.count();
+        metric.histogram.sample_sum = latency.sumSeconds();
+        for (std::size_t bucket = 0; bucket < LatencyHistogram::bucketCount; ++bucket) {
+            metric.histogram.bucket.push_back({latency.countUpTo(bucket), toSeconds(LatencyHistogram::upperBound(bucket))});
+        }
+        metric.histogram.bucket.push_back({latency.count(), std::numeric_limits<double>::infinity()});
+        return metric;
+    }
+
     template<typename Core>
-    std::string scrapeShared(const Core &core)
+    std::string scrapeShared(const Core &core, std::vector<prometheus::MetricFamily> more)
     {
         scrapeExecutor(core.executor());
         scrapeRouter(core.router());
         gauge("chervilpaddle_links", "Open links to peers", static_cast<double>(core.links().linkCount()));
         counter("chervilpaddle_peer_sent_bytes_total", "Bytes sent to peers", core.transport().bytesSent());
         counter("chervilpaddle_peer_received_bytes_total", "Bytes received from peers", core.transport().bytesReceived());
-        return prometheus::TextSerializer().Serialize(m_registry.Collect());
+        std::vector<prometheus::MetricFamily> families = m_registry.Collect();
+        families.insert(families.end(), more.begin(), more.end());
+        return prometheus::TextSerializer().Serialize(families);
     }
 
     void scrapeExecutor(const Executor &executor)
