--- a/src/chervilpaddle/controllers/repeatbudget.cpp
+++ b/src/chervilpaddle/controllers/repeatbudget.cpp
@@ -8,7 +8,7 @@
 //! The part of the operator's ratio and slack that is spent. The rest is left for calls of repeated runs, which nobody
 //! refuses: they may come at nodes that have spent their part.
 constexpr double spentShare = 0.7;
-//! Of that, what calls of less than the highest worth may spend.
+//! Of that, what calls of less than the highest urgency may spend.
 constexpr double lesserShare = 0.6;
 } // namespace
 
@@ -23,13 +23,12 @@
     m_nodes = std::max<std::size_t>(1, nodes);
 }
 
-void RepeatBudget::recordRequest(const ServiceName &service, int worth)
+void RepeatBudget::recordRequest(const ServiceName &service)
 {
     const TimePoint now = m_clock();
     Account &account = m_accounts[service];
     account.requests.push_back(now);
     forget(account.requests, now);
-    noteWorth(account, worth, now);
 }
 
 void RepeatBudget::recordInherited(const ServiceName &service)
@@ -37,7 +36,7 @@
     m_accounts[service].repeats.push_back(m_clock());
 }
 
-bool RepeatBudget::spend(const ServiceName &service, int worth)
+bool RepeatBudget::spend(const ServiceName &service, int urgency)
 {
     const TimePoint now = m_clock();
     Account &account = m_accounts[service];
@@ -46,7 +45,8 @@
     forget(account.lesser, now);
     const double share = m_options.slack / static_cast<double>(m_nodes);
     const double allowed = spentShare * (m_options.ratio * static_cast<double>(account.requests.size()) + share);
-    const bool isLesser = worth < account.highestWorth;
+    noteUrgency(account, urgency, now);
+    const bool isLesser = urgency < account.highestUrgency;
     const bool isLeftToUrgent = isLesser && static_cast<double>(account.lesser.size()) + 1 > lesserShare * allowed;
     if (isLeftToUrgent || static_cast<double>(account.repeats.size()) + 1 > allowed) {
         return false;
@@ -58,10 +58,10 @@
     return true;
 }
 
-void RepeatBudget::noteWorth(Account &account, int worth, TimePoint now) const
+void RepeatBudget::noteUrgency(Account &account, int urgency, TimePoint now) const
 {
-    if (worth >= account.highestWorth || now - account.highestSeen > m_options.window) {
-        account.highestWorth = worth;
+    if (urgency >= account.highestUrgency || now - account.highestSeen > m_options.window) {
+        account.highestUrgency = urgency;
         account.highestSeen = now;
     }
 }
--- a/src/chervilpaddle/controllers/repeatbudget.h
+++ b/src/chervilpaddle/controllers/repeatbudget.h
@@ -28,26 +28,27 @@
 
     //! Sets the number of nodes among which the slack is divided.
     void setNodes(std::size_t nodes);
-    //! Notes a request for the service and its worth.
-    void recordRequest(const ServiceName &service, int worth);
+    //! Notes a request for the service.
+    void recordRequest(const ServiceName &service);
     //! Notes a call that counts as a repeat though nobody asks for it here: its parent's run was one.
     void recordInherited(const ServiceName &service);
-    //! Takes one repeat out of the service's budget; false where there is none left for a call of this worth.
-    bool spend(const ServiceName &service, int worth);
+    //! Takes one repeat out of the service's budget; false where there is none left for a call of this urgency. What is
+    //! less urgent than another call that asked lately leaves a part of the budget.
+    bool spend(const ServiceName &service, int urgency);
 
 private:
     struct Account
     {
         std::deque<TimePoint> requests;
         std::deque<TimePoint> repeats;
-        //! Those of them that were of less than the highest worth.
+        //! Those of them that were not of the highest urgency.
         std::deque<TimePoint> lesser;
-        //! The highest worth asked for, and when it was last seen.
-        int highestWorth = 0;
+        //! The highest urgency that asked, and when it last did.
+        int highestUrgency = 0;
         TimePoint highestSeen;
     };
 
-    void noteWorth(Account &account, int worth, TimePoint now) const;
+    void noteUrgency(Account &account, int urgency, TimePoint now) const;
     void forget(std::deque<TimePoint> &times, TimePoint now) const;
 
     Options m_options;
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -294,7 +294,7 @@
         if (pending.call.allowance->held() == 0) {
             return false;
         }
-        const bool paid = !m_hooks.payRepeat || m_hooks.payRepeat(serviceOf(pending.call.context.operation), pending.call.context.rank);
+        const bool paid = !m_hooks.payRepeat || m_hooks.payRepeat(pending.call.context);
         return paid && pending.call.allowance->spend();
     }
     if (pending.attempts >= m_options.policy.triesPerHop) {
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -62,6 +62,13 @@
     return Worth(std::clamp(highestWorth - route.priority, minimumWorth, highestWorth));
 }
 
+//! The repeat of a caller's own call rescues a whole request; below it, other calls of the tree may fail as well.
+int urgencyOf(const CallContext &call)
+{
+    const int worth = static_cast<int>(call.rank);
+    return call.depth == 0 ? highestWorth + worth : worth;
+}
+
 } // namespace
 
 MeshCore::MeshCore(boost::asio::io_context &context, const NodeSettings &settings, const Dialect &dialect, EventLog &log)
@@ -163,7 +170,7 @@
     hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
     hooks.candidates = [this](const ServiceName &service) -> const std::vector<Candidate> & { return m_links->candidates(service); };
     hooks.send = [this](const InstanceId &instance, const PeerMessage &message) { return sendToInstance(instance, message); };
-    hooks.payRepeat = [this](const ServiceName &service, Rank rank) { return m_repeats.spend(service, static_cast<int>(rank)); };
+    hooks.payRepeat = [this](const CallContext &call) { return m_repeats.spend(serviceOf(call.operation), urgencyOf(call)); };
     return hooks;
 }
 
@@ -249,7 +256,7 @@
         ended(entered, result);
         return;
     }
-    m_repeats.recordRequest(target.service, static_cast<int>(outbound.context.rank));
+    m_repeats.recordRequest(target.service);
     if (outbound.context.branchRepeated) {
         m_repeats.recordInherited(target.service);
     }
--- a/tests/controllers/repeatbudget.cpp
+++ b/tests/controllers/repeatbudget.cpp
@@ -28,7 +28,7 @@
         const bool rush = i > 20'000 && i < 40'000;
         if (uniformFraction(random) < (rush ? 0.5 : 0.01)) {
             RepeatBudget &node = nodes[uniformIndex(random, nodes.size())];
-            node.recordRequest(service, 1);
+            node.recordRequest(service);
             requests.push_back(now);
             if (node.spend(service, 1)) {
                 repeats.push_back(now);
@@ -60,7 +60,7 @@
     TimePoint now;
     RepeatBudget budget({0.2, 10, std::chrono::seconds(10)}, [&now] { return now; });
     for (int i = 0; i < 100; ++i) {
-        budget.recordRequest(service, 1);
+        budget.recordRequest(service);
     }
     for (int i = 0; i < 30; ++i) {
         budget.recordInherited(service);
@@ -82,11 +82,11 @@
     for (int i = 0; i < 20'000; ++i) {
         now += std::chrono::milliseconds(2);
         const int isUrgent = uniformFraction(random) < 0.15 ? 1 : 0;
-        const int worth = isUrgent != 0 ? urgent : lesser;
-        budget.recordRequest(service, worth);
+        const int urgency = isUrgent != 0 ? urgent : lesser;
+        budget.recordRequest(service);
         if (uniformFraction(random) < 0.33) {
             ++lost[isUrgent];
-            rescued[isUrgent] += budget.spend(service, worth) ? 1 : 0;
+            rescued[isUrgent] += budget.spend(service, urgency) ? 1 : 0;
         }
     }
     cr_expect_gt(rescued[1], 0.95 * lost[1], "%d of %d urgent ones", rescued[1], lost[1]);
