Bound what the repeat budget and the trials remember

Found in the reading before the landing: calls of repeated runs were noted and never forgotten at a service that nobody asked to repeat at, and picks were counted for every operation that ever was.

--- a/src/chervilpaddle/controllers/completionforecast.h
+++ b/src/chervilpaddle/controllers/completionforecast.h
@@ -20,6 +20,7 @@
     void recordUnanswered(const InstanceId &instance, const OperationName &operation, Duration elapsed, TimePoint now);
     //! Takes whether a backend server that was reached failed the call.
     void recordOutcome(const InstanceId &instance, bool hasFailed, TimePoint now);
+    //! The instance was replaced: what is known of it holds no more.
     void forget(const InstanceId &instance);
 
     //! Seconds that an answer takes; nothing where none was seen.
--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint64_t picksPerFirstTrial = 4;
 constexpr std::uint64_t picksPerTrial = 32;
 constexpr Duration forecastAge = std::chrono::seconds(4);
+//! Operations whose picks are counted; a configuration of thousands of routes may bring more over time.
+constexpr std::size_t mostOperations = 4096;
 //! What a failed call costs its caller: it has to ask again, or all that was done for it is lost.
 constexpr double failureSeconds = 0.3;
 //! Assumed of an operation that nobody was seen to answer.
@@ -108,6 +110,9 @@
 //! The instance whose forecast is the least certain, where it is time for a trial and it can pay.
 const Candidate *InstancePicker::trialFrom(const std::vector<const Candidate *> &pool, const Question &question, TimePoint now)
 {
+    if (m_picks.size() > mostOperations) {
+        m_picks.clear();
+    }
     const std::uint64_t pick = ++m_picks[question.operation];
     if (pick % picksPerFirstTrial != 0) {
         return nullptr;
--- a/src/chervilpaddle/controllers/repeatbudget.cpp
+++ b/src/chervilpaddle/controllers/repeatbudget.cpp
@@ -33,7 +33,10 @@
 
 void RepeatBudget::recordInherited(const ServiceName &service)
 {
-    m_accounts[service].repeats.push_back(m_clock());
+    const TimePoint now = m_clock();
+    Account &account = m_accounts[service];
+    account.repeats.push_back(now);
+    forget(account.repeats, now);
 }
 
 bool RepeatBudget::spend(const ServiceName &service, int urgency)
