Pass failures that backend servers report on again

The repeats only cost work. The rule that a refused repeat never hides that an earlier attempt may have run stays.

--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -12,9 +12,6 @@
 //! How often a call that no backend server has seen is sent on to another instance.
 constexpr int mostFreeMoves = 3;
 
-//! Up to this share of failed calls of an instance a failure counts as chance.
-constexpr double rareFailureShare = 0.1;
-
 bool isRefusalWorthRepeating(ResultCode code)
 {
     switch (code) {
@@ -266,7 +263,7 @@
     if (!m_options.policy.allowance) {
         return safe && payForRepeat(pending, code);
     }
-    const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code) || isChanceFailure(pending, code);
+    const bool useful = outcome == Outcome::Unknown || isRefusalWorthRepeating(code);
     if (!safe || !useful) {
         return false;
     }
@@ -275,16 +272,6 @@
     return choose(pending, refusal) != nullptr && payForRepeat(pending, code);
 }
 
-//! A failure of the backend server's own is worth another try where it is rare; where many fail, their repeats would only
-//! add to the load.
-bool Router::isChanceFailure(const Pending &pending, ResultCode code)
-{
-    if (code != ResultCode::DoneWithError || !pending.call.freeMoves) {
-        return false;
-    }
-    return m_picker.forecast().failureShare(pending.lastExecutor, m_hooks.clock()) <= rareFailureShare;
-}
-
 bool Router::payForRepeat(Pending &pending, ResultCode code)
 {
     if (pending.call.freeMoves && isRefusedBeforeBackend(code)) {
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -28,8 +28,7 @@
     std::optional<Ticket> boundTicket;
     //! The caller says that it presents the ticket for the first time: unless it goes out from here, it has not run.
     bool isFirstPresentation = false;
-    //! A plain HTTP call: what no backend server has seen may be sent elsewhere without spending allowance, and a backend
-    //! server's own rare failure may be repeated.
+    //! A call that no backend server has seen may be sent elsewhere without spending allowance.
     bool freeMoves = false;
     //! Whether the backend server's own calls may spend from the allowance.
     bool lendsAllowance = true;
@@ -138,7 +137,6 @@
     const Candidate *linked(const ServiceName &service, const InstanceId &instance) const;
     void attemptEnded(CallId id, ResultCode code, const Payload &payload);
     bool mayRepeat(Pending &pending, ResultCode code);
-    bool isChanceFailure(const Pending &pending, ResultCode code);
     bool payForRepeat(Pending &pending, ResultCode code);
     void finish(CallId id, ResultCode code, const Payload &payload);
     void deadlinePassed(CallId id);
