Answer a call that is sent again from its record, and keep a presented ticket presented

When the link to the entry node broke while the call ran, and the backend server began to leave, the entry node sent the call again over a new link and got 'leaving', which says that it has not run; it then sent it to another instance. The same refusal left no record, so that a delayed frame could still start the call.

After a lost response, an attempt that could not connect reset the ticket's attempt number to zero; the next node was told that the ticket was unused, could not reach the executor and truthfully answered 2006. Ruled out: the paths of Router and CallersFrontend that answer 2006, which do so only for a ticket declared unused.

Change: the refusal is a hook of the executor, asked only about calls that have not started, and it voids the ticket. Queued calls are asked about again before they start. TicketProgress holds the rule for the next attempt's ticket.

--- a/apps/tool/loadcommand.cpp
+++ b/apps/tool/loadcommand.cpp
@@ -1,5 +1,6 @@
 #include "loadplan.h"
 #include "loadreport.h"
+#include "ticketprogress.h"
 #include "toolcommands.h"
 
 #include <chervilpaddle/base/inidocument.h>
@@ -54,8 +55,7 @@
         TimePoint sent;
         CallerRequest call;
         int attempts = 0;
-        //! Whether an earlier attempt may have run.
-        bool mayHaveRun = false;
+        TicketProgress ticketProgress;
         int repeatsSpent = 0;
     };
 
@@ -124,20 +124,18 @@
         const bool isBeforeDeadline = m_clock() < request->sent + loadStream.deadline;
         // A call that ran under a ticket is not retried, as its executor would only return the recorded answer.
         const bool hasRunUnderTicket = result.outcome == Outcome::Done && !request->call.ticket.empty();
+        request->ticketProgress.attemptEnded(request->call, result);
         if (!isDone && !hasRunUnderTicket && isBeforeDeadline && request->attempts <= loadStream.maximumRetries) {
             // After "not run" the node returns a new ticket; after "unknown" the same ticket is presented again.
-            request->mayHaveRun = mayHaveRunAfter(*request, result);
-            // The ticket may have been fetched and first presented within this attempt.
-            const int presentedBefore = result.ticket == request->call.ticket ? request->call.ticketAttempt : 0;
-            request->call.ticketAttempt = result.outcome == Outcome::NotRun ? 0 : presentedBefore + 1;
-            request->call.ticket = result.ticket;
+            request->call.ticketAttempt = request->ticketProgress.ticketAttempt();
+            request->call.ticket = request->ticketProgress.ticket();
             attempt(request);
             return;
         }
         LoadOutcome outcome{
             request->call.request, request->stream, request->phase, request->sent, m_clock(), result, request->attempts, false};
         outcome.result.repeatsSpent = request->repeatsSpent;
-        if (result.outcome == Outcome::NotRun && mayHaveRunAfter(*request, result)) {
+        if (result.outcome == Outcome::NotRun && request->ticketProgress.mayHaveRun()) {
             outcome.result.outcome = Outcome::Unknown;
         }
         if (isDone) {
@@ -148,17 +146,6 @@
         m_report.add(outcome);
     }
 
-    //! Whether the request may have run after this result. "Not run" rules out a run in an earlier attempt only if the
-    //! executor reports it for the same ticket.
-    static bool mayHaveRunAfter(const Request &request, const CallerResult &result)
-    {
-        if (result.outcome != Outcome::NotRun) {
-            return true;
-        }
-        const bool isFromExecutor = !request.call.ticket.empty() && result.status != 0;
-        return request.mayHaveRun && !isFromExecutor;
-    }
-
     HttpClient &clientFor(const Endpoint &target)
     {
         auto &client = m_clients[toText(target)];
--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -82,6 +82,11 @@
     }
 }
 
+std::optional<ResultCode> Executor::startRefusal(const CallMessage &call) const
+{
+    return m_hooks.startRefusal ? m_hooks.startRefusal(call) : std::nullopt;
+}
+
 void Executor::enqueue(const CallMessage &call, TimePoint deadline, Reply reply)
 {
     if (m_draining) {
@@ -89,6 +94,10 @@
         refuse(call, ResultCode::Leaving, reply);
         return;
     }
+    if (const auto code = startRefusal(call); code) {
+        refuse(call, *code, reply);
+        return;
+    }
     const TimePoint now = m_hooks.clock();
     const QueuedCall queued{call.ticket.id, call.context.operation, call.context.rank, call.context.depth, now, deadline};
     if (deadline <= now) {
@@ -185,6 +194,12 @@
             dropQueued(next.ticket, now >= next.deadline ? ResultCode::DeadlinePast : ResultCode::DeadlineTooClose);
             continue;
         }
+        if (const auto pending = m_pendingCalls.find(next.ticket); pending != m_pendingCalls.end()) {
+            if (const auto code = startRefusal(pending->second.call); code) {
+                dropQueued(next.ticket, *code);
+                continue;
+            }
+        }
         m_queue.remove(next.ticket);
         startCall(next);
     }
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -66,6 +67,9 @@
         std::function<void(RunId)> cancelRun;
         //! Returns the clearing rank that the entry nodes currently apply. Defaults to this executor's own.
         std::function<Rank()> effectiveClearingRank = nullptr;
+        //! Returns why a call must not start at this backend server, if so. Asked only about calls that have not started: what
+        //! became of a running or finished call is reported from its record.
+        std::function<std::optional<ResultCode>(const CallMessage &)> startRefusal = nullptr;
     };
     struct Options
     {
@@ -152,6 +156,7 @@
     void enqueue(const CallMessage &call, TimePoint deadline, Reply reply);
     void joinDuplicate(const TicketId &ticket, Reply reply);
     void refuse(const CallMessage &call, ResultCode code, const Reply &reply);
+    std::optional<ResultCode> startRefusal(const CallMessage &call) const;
     //! Takes the ticket by value, as a reference could point into the queue entry that is removed.
     void dropQueued(TicketId ticket, ResultCode code);
     void shedExcess();
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -150,7 +150,8 @@
     return {m_clock,
             [this](const Run &run) { m_backend.start(run); },
             [this](RunId run) { m_backend.cancel(run); },
-            [this] { return m_admission.clearingRank(m_settings.service, m_clock()); }};
+            [this] { return m_admission.clearingRank(m_settings.service, m_clock()); },
+            [this](const CallMessage &call) { return startRefusal(call); }};
 }
 
 Router::Hooks MeshCore::routerHooks()
@@ -401,19 +402,17 @@
     }
 }
 
-//! Refuses calls for a backend server that is leaving, has left or is not the one beside this node before they start.
-void MeshCore::submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply)
+//! Calls for a backend server that is leaving, has left or is not the one beside this node do not start.
+std::optional<ResultCode> MeshCore::startRefusal(const CallMessage &call) const
 {
     const bool isOtherBackend = m_ownInstance && m_ownInstance->backend != call.context.backend;
     const bool isLeaving = m_ownInstance && m_ownInstance->leaving;
-    if (isOtherBackend || isLeaving || m_directory.hasLeft(call.context.backend)) {
-        ResponseMessage response;
-        response.ticket = call.ticket.id;
-        response.code = ResultCode::Leaving;
-        response.retryAllowance = call.retryAllowance;
-        reply(response);
-        return;
-    }
+    const bool isRefused = isOtherBackend || isLeaving || m_directory.hasLeft(call.context.backend);
+    return isRefused ? std::optional<ResultCode>(ResultCode::Leaving) : std::nullopt;
+}
+
+void MeshCore::submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply)
+{
     m_executor->submit(call, queueingDelay, std::move(reply));
     if (m_executor->incarnation() != m_incarnation) {
         m_incarnation = m_executor->incarnation();
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -107,6 +107,7 @@
     void submitLocally(const PeerMessage &message);
     void handlePeerMessage(const PeerEvent &event);
     void handleDocumentMessage(const PeerEvent &event);
+    std::optional<ResultCode> startRefusal(const CallMessage &call) const;
     void submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply);
 
     void configurationChanged();
--- a/tests/controllers/admission.cpp
+++ b/tests/controllers/admission.cpp
@@ -37,7 +37,11 @@
 public:
     explicit ExecutorFixture(int slots, PolicySwitches policy = fullPolicy())
         : executor({InstanceId("x-1"), Incarnation(7), slots, policy, {}},
-                   {time.clock(), [this](const Run &run) { started.push_back(run); }, [this](RunId run) { cancelled.push_back(run); }})
+                   {time.clock(),
+                    [this](const Run &run) { started.push_back(run); },
+                    [this](RunId run) { cancelled.push_back(run); },
+                    nullptr,
+                    [this](const CallMessage & /*call*/) { return startRefusal; }})
     {
     }
 
@@ -65,6 +69,7 @@
     }
 
     VirtualTime time;
+    std::optional<ResultCode> startRefusal;
     std::vector<Run> started;
     std::vector<RunId> cancelled;
     std::map<std::uint64_t, std::vector<ResponseMessage>> answers;
@@ -317,3 +322,46 @@
     }
     cr_assert_eq(fixture.executor.localPrice(), 0);
 }
+
+//! Guards against a payout that runs twice: the link to the caller breaks while the call runs, the backend server starts to leave,
+//! and the caller sends the call again over a new link. The answer "leaving, not run" would send it to another instance.
+Test(admission, a_call_sent_again_is_answered_from_its_record_although_the_backend_server_leaves)
+{
+    ExecutorFixture fixture(2);
+    fixture.submit(fixture.message(1, 100));
+    fixture.submit(fixture.message(2, 100));
+    fixture.finishFirst();
+    fixture.startRefusal = ResultCode::Leaving;
+    fixture.submit(fixture.message(1, 100));
+    fixture.submit(fixture.message(2, 100));
+    cr_assert_eq(fixture.answers[1].size(), 2);
+    cr_assert(fixture.answers[1][1].code == ResultCode::Done, "the finished call is answered with its recorded response");
+    cr_assert(fixture.answers[2].empty(), "the running call is not answered before it ends");
+    fixture.finishFirst();
+    cr_assert_eq(fixture.answers[2].size(), 2);
+    cr_assert(fixture.answers[2][0].code == ResultCode::Done);
+    cr_assert_eq(fixture.started.size(), 2);
+}
+
+//! A frame of a refused call may still arrive over the old link after the refusal has been sent over a new one.
+Test(admission, a_call_refused_by_a_leaving_backend_server_never_starts_later)
+{
+    ExecutorFixture fixture(1);
+    fixture.startRefusal = ResultCode::Leaving;
+    fixture.submit(fixture.message(1, 100));
+    fixture.startRefusal.reset();
+    fixture.submit(fixture.message(1, 100));
+    cr_assert(fixture.started.empty());
+    cr_assert(outcomeOf(fixture.answers[1][1].code) == Outcome::NotRun);
+}
+
+Test(admission, queued_calls_do_not_start_at_a_leaving_backend_server)
+{
+    ExecutorFixture fixture(1);
+    fixture.submit(fixture.message(1, 100));
+    fixture.submit(fixture.message(2, 100));
+    fixture.startRefusal = ResultCode::Leaving;
+    fixture.finishFirst();
+    cr_assert_eq(fixture.started.size(), 1);
+    cr_assert(fixture.answers[2][0].code == ResultCode::Leaving);
+}
