Bound what a server in trouble can make the client buffer, and skip interim responses

Cause: bytes that are no response may come without end. Endless interim responses (1xx) were taken for the complete response.

Ruled out: status line, header line and block, empty lines, body without a length, chunks and trailers were bounded already by the parser's header and body limits.

Before: httpclient.bytes_without_end_are_cut_off crashed at 'chunk size', then failed at 'interim responses'.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -22,6 +22,8 @@
 using asio::ip::tcp;
 
 constexpr std::uint32_t maxHeaderBytes = 16 * kibibyte;
+//! Bounds what is read ahead of the parser. Body bytes leave the buffer at once, whereas a line without an end stays in it.
+constexpr std::size_t maxBufferBytes = 128 * kibibyte;
 constexpr std::size_t maxIdleConnections = 128;
 //! Subtracted from the idle timeout that a server announces: a request sent just before it would cross the server's close.
 constexpr Duration idleMargin = std::chrono::seconds(1);
@@ -158,7 +160,7 @@
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
         } else if (isCloseDelimited() && !m_options.acceptsCloseDelimitedBodies) {
             result.stage = HttpStage::Truncated;
-        } else if (isForOtherRequest()) {
+        } else if (isInterim() || isForOtherRequest()) {
             if (maySkipResponse()) {
                 resetParser();
                 read();
@@ -178,6 +180,12 @@
         complete(result);
     }
 
+    //! Returns whether the response announces that the final one follows.
+    bool isInterim() const
+    {
+        return http::to_status_class(m_parser->get().result()) == http::status_class::informational;
+    }
+
     //! Returns whether the response belongs to another request.
     bool isForOtherRequest()
     {
@@ -200,7 +208,7 @@
     bool isCloseDelimited() const
     {
         const auto status = m_parser->get().result();
-        const bool hasNoBody = status == http::status::no_content || status == http::status::not_modified;
+        const bool hasNoBody = isInterim() || status == http::status::no_content || status == http::status::not_modified;
         return !hasNoBody && !m_parser->chunked() && !m_parser->content_length();
     }
 
@@ -229,7 +237,7 @@
 
     beast::tcp_stream m_stream;
     HttpClient::Options m_options;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maxBufferBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::chrono::steady_clock::time_point m_deadline;
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -19,6 +19,8 @@
     std::string bytes;
     bool closes = false;
     bool resets = false;
+    //! Repeated after the bytes until the client closes the connection.
+    std::string endless = {};
 };
 
 //! Loopback server that runs one script per request, regardless of the connection.
@@ -42,6 +44,11 @@
         return m_connections;
     }
 
+    std::size_t floodBytes() const
+    {
+        return m_floodBytes;
+    }
+
 private:
     void accept()
     {
@@ -64,6 +71,10 @@
             const Script &script = m_scripts[m_next++];
             asio::write(*socket, asio::buffer(script.bytes));
             boost::system::error_code ignored;
+            if (!script.endless.empty()) {
+                flood(socket, std::make_shared<std::string>(repeated(script.endless)));
+                return;
+            }
             if (script.resets) {
                 socket->set_option(asio::socket_base::linger(true, 0), ignored);
             }
@@ -75,10 +86,30 @@
         });
     }
 
+    static std::string repeated(const std::string &pattern)
+    {
+        std::string block;
+        while (block.size() < 65536) {
+            block += pattern;
+        }
+        return block;
+    }
+
+    void flood(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &block)
+    {
+        asio::async_write(*socket, asio::buffer(*block), [this, socket, block](const boost::system::error_code &error, std::size_t bytes) {
+            m_floodBytes += bytes;
+            if (!error) {
+                flood(socket, block);
+            }
+        });
+    }
+
     tcp::acceptor m_acceptor;
     std::vector<Script> m_scripts;
     std::size_t m_next = 0;
     int m_connections = 0;
+    std::size_t m_floodBytes = 0;
 };
 
 struct Exchange
@@ -88,7 +119,10 @@
 };
 
 //! Sends one request per id, sequentially, and returns how each ended.
-std::vector<Exchange> exchange(const std::vector<Script> &scripts, const std::vector<std::string> &ids, int *connections = nullptr)
+std::vector<Exchange> exchange(const std::vector<Script> &scripts,
+                               const std::vector<std::string> &ids,
+                               int *connections = nullptr,
+                               std::size_t *floodBytes = nullptr)
 {
     asio::io_context context;
     ScriptedServer server(context, scripts);
@@ -118,6 +152,9 @@
     if (connections != nullptr) {
         *connections = server.connections();
     }
+    if (floodBytes != nullptr) {
+        *floodBytes = server.floodBytes();
+    }
     return exchanges;
 }
 
@@ -179,3 +216,41 @@
     exchange({{shortIdle}, {responseB}}, {"a", "b"}, &connections);
     cr_assert_eq(connections, 2, "the announced idle timeout leaves no time for a reuse");
 }
+
+//! A server in trouble may send bytes without end, in a head or in a body. The client gives up long before its timeout, does not
+//! buffer them, and does not take them for a response or for proof that the request has not run.
+Test(httpclient, bytes_without_end_are_cut_off)
+{
+    struct Case
+    {
+        const char *description;
+        std::string start;
+        std::string endless;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const Case cases[] = {
+        {"status line", "HTTP/1.1 200 ", "xyz"},
+        {"no HTTP at all", "", "xyz"},
+        {"empty lines", "", "\r\n"},
+        {"header line", "HTTP/1.1 200 OK\r\nName: ", "xyz"},
+        {"header block", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+        {"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "xyz"},
+        {"chunks", chunked, "3\r\nxyz\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "3;", "name=value;"},
+        {"trailer line", chunked + "0\r\nName: ", "xyz"},
+        {"trailer block", chunked + "0\r\n", "Name: value\r\n"},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"responses to other requests", "", "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 3\r\n\r\nxyz"},
+    };
+    for (const Case &testCase : cases) {
+        std::size_t floodBytes = 0;
+        const auto start = steadyClock()();
+        const auto exchanges = exchange({{testCase.start, false, false, testCase.endless}}, {"a"}, nullptr, &floodBytes);
+        const auto elapsed = steadyClock()() - start;
+        cr_expect(exchanges[0].stage != HttpStage::Complete && exchanges[0].stage != HttpStage::NotSent, "%s", testCase.description);
+        cr_expect(elapsed < std::chrono::seconds(4), "%s: given up only at the timeout", testCase.description);
+        // Most of this lies in the buffers of the two sockets.
+        cr_expect_leq(floodBytes, 16U * 1024 * 1024, "%s: %zu bytes", testCase.description, floodBytes);
+    }
+}
