--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -316,6 +316,35 @@
     }
 }
 
+bool LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
+{
+    if (send(instance, message)) {
+        return true;
+    }
+    const auto connection = std::find_if(m_connections.begin(), m_connections.end(), [&instance](const auto &entry) {
+        return entry.second.helloReceived && entry.second.instance == instance;
+    });
+    if (connection == m_connections.end()) {
+        return false;
+    }
+    sendOn(connection->first, connection->second, message);
+    return true;
+}
+
+void LinkController::sendStatusToInstances()
+{
+    std::map<InstanceId, ConnectionId> chosen;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection.helloReceived) {
+            chosen.try_emplace(connection.instance, id);
+        }
+    }
+    for (const auto &[instance, id] : chosen) {
+        const auto connection = m_connections.find(id);
+        sendOn(id, connection->second, statusFor(connection->second));
+    }
+}
+
 void LinkController::broadcastStatus()
 {
     for (auto &[id, connection] : m_connections) {
--- a/src/chervilpaddle/controllers/peerselection.cpp
+++ b/src/chervilpaddle/controllers/peerselection.cpp
@@ -14,11 +14,16 @@
 //! Sorts by a hash of the salt and the instance id, so that each salt gives a different but stable order.
 void sortByHash(Entries &entries, const std::string &salt)
 {
-    const auto weight = [&](const PublishedInstance *entry) { return stableHash(salt + '\n' + entry->instance.value()); };
-    std::sort(entries.begin(), entries.end(), [&](const auto *a, const auto *b) { return weight(a) < weight(b); });
+    std::vector<std::pair<std::uint64_t, const PublishedInstance *>> weighted;
+    weighted.reserve(entries.size());
+    for (const PublishedInstance *entry : entries) {
+        weighted.emplace_back(stableHash(salt + '\n' + entry->instance.value()), entry);
+    }
+    std::sort(weighted.begin(), weighted.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::transform(weighted.begin(), weighted.end(), entries.begin(), [](const auto &entry) { return entry.second; });
 }
 
-Entries readerEntries(const InstanceList &list, const DataCentreName &dataCentre)
+Entries readerEntries(const InstanceList &list, const DataCentreName &dataCentre, std::size_t count = readersPerDataCentre)
 {
     Entries entries;
     for (const PublishedInstance &instance : list.instances) {
@@ -27,7 +32,7 @@
         }
     }
     sortByHash(entries, "reader");
-    entries.resize(std::min(entries.size(), readersPerDataCentre));
+    entries.resize(std::min(entries.size(), count));
     return entries;
 }
 
@@ -42,10 +47,10 @@
 
 } // namespace
 
-std::vector<InstanceId> selectReaders(const InstanceList &list, const DataCentreName &dataCentre)
+std::vector<InstanceId> selectReaders(const InstanceList &list, const DataCentreName &dataCentre, std::size_t count)
 {
     std::vector<InstanceId> ids;
-    for (const PublishedInstance *entry : readerEntries(list, dataCentre)) {
+    for (const PublishedInstance *entry : readerEntries(list, dataCentre, count)) {
         ids.push_back(entry->instance);
     }
     return ids;
--- a/src/chervilpaddle/controllers/peerselection.h
+++ b/src/chervilpaddle/controllers/peerselection.h
@@ -25,7 +25,7 @@
 
 //! Selects the nodes of a data centre that read the platform, by rendezvous hashing over the published list (Thaler and
 //! Ravishankar, 1998). Nodes with different lists may select different readers; see docs/design/configuration.md.
-std::vector<InstanceId> selectReaders(const InstanceList &list, const DataCentreName &dataCentre);
+std::vector<InstanceId> selectReaders(const InstanceList &list, const DataCentreName &dataCentre, std::size_t count = readersPerDataCentre);
 
 bool isReader(const InstanceList &list, const LocalNode &localNode);
 
--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -15,12 +15,84 @@
 //! random, so that if all connections become silent at once some node detects it early and informs its peers.
 constexpr Duration minWatchDuration = std::chrono::seconds(2);
 constexpr Duration maxWatchDuration = std::chrono::seconds(6);
+//! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them.
+constexpr Duration rewatchDelay = std::chrono::milliseconds(150);
 
-bool sameItems(const std::map<std::string, StoreItem> &a, const std::map<std::string, StoreItem> &b)
+//! Number of changes that are kept for peers that are behind. Bounds the memory; a peer that is further behind gets all items.
+constexpr std::size_t maxRecentEvents = 1024;
+
+//! The changes that lead from one state of the items to another, oldest first. The revision of a removal is not known.
+std::vector<StoreEvent>
+differences(const std::map<std::string, StoreItem> &from, const std::map<std::string, StoreItem> &to, Revision removalRevision)
+{
+    std::vector<StoreEvent> events;
+    for (const auto &[key, item] : from) {
+        if (to.count(key) == 0) {
+            events.push_back({{key, {}, removalRevision}, true});
+        }
+    }
+    for (const auto &[key, item] : to) {
+        const auto known = from.find(key);
+        if (known == from.end() || known->second.revision < item.revision) {
+            events.push_back({item, false});
+        }
+    }
+    std::sort(events.begin(), events.end(), [](const auto &a, const auto &b) { return a.item.revision < b.item.revision; });
+    return events;
+}
+
+//! Serialises changes as [key, value, revision], or [key, revision] for a removal.
+nlohmann::json encodeEvent(const StoreEvent &event)
+{
+    if (event.isRemoved) {
+        return {event.item.key, event.item.revision.value()};
+    }
+    return {event.item.key, event.item.value, event.item.revision.value()};
+}
+
+StoreEvent decodeEvent(const nlohmann::json &entry)
+{
+    const bool isRemoved = entry.size() == 2;
+    const std::string value = isRemoved ? std::string() : entry.at(1).get<std::string>();
+    return {{entry.at(0).get<std::string>(), value, Revision(entry.at(isRemoved ? 1 : 2).get<std::uint64_t>())}, isRemoved};
+}
+
+//! No node can decode values that are not valid UTF-8, so replacing their invalid bytes loses nothing.
+std::string toText(const nlohmann::json &document)
 {
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](const auto &x, const auto &y) {
-               return x.first == y.first && x.second.revision == y.second.revision;
-           });
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+//! A document that peers exchange: all items, or the changes after a revision.
+struct MirrorDocument
+{
+    std::optional<Revision> since;
+    Revision synced;
+    Revision lastChange;
+    std::vector<StoreEvent> events;
+};
+
+namespace {
+
+std::optional<MirrorDocument> parseDocument(const std::string &text)
+{
+    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    MirrorDocument document;
+    try {
+        if (const auto since = parsed.find("since"); since != parsed.end()) {
+            document.since = Revision(since->get<std::uint64_t>());
+        }
+        document.synced = Revision(parsed.at("synced").get<std::uint64_t>());
+        document.lastChange = Revision(parsed.at("lastChange").get<std::uint64_t>());
+        for (const auto &entry : parsed.at("items")) {
+            document.events.push_back(decodeEvent(entry));
+        }
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+    return document;
 }
 
 } // namespace
@@ -34,11 +106,28 @@
 
 void PrefixMirror::start()
 {
+    m_isBusy = true;
     m_snapshotItems.clear();
     m_snapshotRevision.reset();
     readPage({});
 }
 
+void PrefixMirror::setReading(bool isReading)
+{
+    m_isReading = isReading;
+    if (isReading && !m_isBusy) {
+        m_isBusy = true;
+        m_hasContent ? watch() : start();
+    }
+}
+
+void PrefixMirror::setAvailableSince(std::optional<TimePoint> since)
+{
+    if (!m_isReading && !m_isBusy) {
+        m_answeringSince = since;
+    }
+}
+
 void PrefixMirror::readPage(const std::string &afterKey)
 {
     m_hooks.reader.range(m_prefix, afterKey, [this](const StorePage &page) { handlePage(page); });
@@ -66,25 +155,52 @@
 void PrefixMirror::finishSnapshot()
 {
     const Revision snapshotRevision = *m_snapshotRevision;
-    // The snapshot of a peer that was applied in the meantime may be newer than the pages.
+    // A document of a peer that was applied in the meantime may be newer than the pages.
     if (!(snapshotRevision < m_syncedRevision)) {
-        const bool isChanged = !m_hasContent || !sameItems(m_items, m_snapshotItems);
-        m_items = std::move(m_snapshotItems);
-        m_syncedRevision = snapshotRevision;
-        m_hasContent = true;
-        for (const auto &[key, item] : m_items) {
-            updateLastChange(item.revision);
-        }
-        if (isChanged) {
-            m_hooks.changed();
-        }
+        replaceItems(std::move(m_snapshotItems), snapshotRevision);
     }
     m_snapshotItems.clear();
     watch();
 }
 
+//! Replaces all items. The changes that this amounts to are kept for peers that hold the previous items.
+void PrefixMirror::replaceItems(std::map<std::string, StoreItem> items, Revision synced)
+{
+    std::vector<StoreEvent> events = differences(m_items, items, synced);
+    const bool isFirst = !m_hasContent;
+    m_items = std::move(items);
+    m_syncedRevision = synced;
+    m_hasContent = true;
+    for (const StoreEvent &event : events) {
+        updateLastChange(event.item.revision);
+    }
+    if (isFirst) {
+        m_recentSince = synced;
+    } else {
+        remember(events);
+    }
+    if (isFirst || !events.empty()) {
+        m_hooks.changed();
+    }
+}
+
+void PrefixMirror::remember(std::vector<StoreEvent> events)
+{
+    for (StoreEvent &event : events) {
+        m_recentEvents.push_back(std::move(event));
+    }
+    while (m_recentEvents.size() > maxRecentEvents) {
+        m_recentSince = std::max(m_recentSince, m_recentEvents.front().item.revision);
+        m_recentEvents.pop_front();
+    }
+}
+
 void PrefixMirror::watch()
 {
+    if (!m_isReading) {
+        m_isBusy = false;
+        return;
+    }
     const Duration duration = minWatchDuration + fromSeconds(toSeconds(maxWatchDuration - minWatchDuration) * uniformFraction(m_random));
     m_hooks.reader.watch(m_prefix, m_syncedRevision, duration, [this](const StoreChanges &changes) { handleChanges(changes); });
 }
@@ -101,24 +217,36 @@
         return;
     }
     markAvailable();
-    bool isChanged = false;
+    std::vector<StoreEvent> applied;
     for (const StoreEvent &event : changes.events) {
-        if (!(m_syncedRevision < event.item.revision)) {
-            continue;
-        }
-        isChanged = true;
-        updateLastChange(event.item.revision);
-        if (event.isRemoved) {
-            m_items.erase(event.item.key);
-        } else if (auto &existing = m_items[event.item.key]; !(event.item.revision < existing.revision)) {
-            existing = event.item;
+        if (applyEvent(event)) {
+            applied.push_back(event);
         }
     }
+    const bool isChanged = !applied.empty();
+    remember(std::move(applied));
     m_syncedRevision = std::max(m_syncedRevision, changes.storeRevision);
-    if (isChanged) {
-        m_hooks.changed();
+    if (!isChanged) {
+        watch();
+        return;
     }
-    watch();
+    m_hooks.changed();
+    m_hooks.schedule(rewatchDelay, [this] { watch(); });
+}
+
+//! Returns false if the items already contain the change.
+bool PrefixMirror::applyEvent(const StoreEvent &event)
+{
+    if (!(m_syncedRevision < event.item.revision)) {
+        return false;
+    }
+    updateLastChange(event.item.revision);
+    if (event.isRemoved) {
+        m_items.erase(event.item.key);
+    } else if (auto &existing = m_items[event.item.key]; !(event.item.revision < existing.revision)) {
+        existing = event.item;
+    }
+    return true;
 }
 
 void PrefixMirror::handleFailure(std::function<void()> retry)
@@ -127,6 +255,10 @@
         m_answeringSince.reset();
         m_hooks.availabilityChanged(false);
     }
+    if (!m_isReading && m_hasContent) {
+        m_isBusy = false;
+        return;
+    }
     const Duration delay = initialRetryDelay * (1 << std::min(m_failures, maxBackoffDoublings));
     ++m_failures;
     m_hooks.schedule(delay + fromSeconds(toSeconds(delay) * uniformFraction(m_random)), std::move(retry));
@@ -161,6 +293,11 @@
     return m_lastChange;
 }
 
+Revision PrefixMirror::syncedRevision() const
+{
+    return m_syncedRevision;
+}
+
 std::optional<TimePoint> PrefixMirror::availableSince() const
 {
     return m_answeringSince;
@@ -175,40 +312,69 @@
 {
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, item] : m_items) {
-        items.push_back({key, item.value, item.revision.value()});
+        items.push_back(encodeEvent({item, false}));
     }
-    const nlohmann::json document = {
-        {"synced", m_syncedRevision.value()}, {"lastChange", m_lastChange.value()}, {"items", std::move(items)}};
-    // No node can decode values that are not valid UTF-8, so replacing their invalid bytes loses nothing.
-    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toText({{"synced", m_syncedRevision.value()}, {"lastChange", m_lastChange.value()}, {"items", std::move(items)}});
 }
 
-bool PrefixMirror::applySnapshot(const std::string &snapshot)
+std::string PrefixMirror::changesSince(Revision held) const
 {
-    const auto parsed = nlohmann::json::parse(snapshot, nullptr, false);
-    std::map<std::string, StoreItem> items;
-    Revision synced;
-    Revision lastChange;
-    try {
-        synced = Revision(parsed.at("synced").get<std::uint64_t>());
-        lastChange = Revision(parsed.at("lastChange").get<std::uint64_t>());
-        for (const auto &entry : parsed.at("items")) {
-            const StoreItem item{
-                entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), Revision(entry.at(2).get<std::uint64_t>())};
-            items[item.key] = item;
+    if (held < m_recentSince) {
+        return snapshot();
+    }
+    nlohmann::json events = nlohmann::json::array();
+    for (const StoreEvent &event : m_recentEvents) {
+        if (held < event.item.revision) {
+            events.push_back(encodeEvent(event));
         }
-    } catch (const nlohmann::json::exception &) {
-        return false;
     }
-    if (m_hasContent && !isBehind(lastChange)) {
-        return false;
+    return toText({{"since", held.value()},
+                   {"synced", m_syncedRevision.value()},
+                   {"lastChange", m_lastChange.value()},
+                   {"items", std::move(events)}});
+}
+
+MirrorUpdate PrefixMirror::apply(const std::string &document)
+{
+    auto parsed = parseDocument(document);
+    if (!parsed) {
+        return MirrorUpdate::Malformed;
     }
-    m_items = std::move(items);
-    m_syncedRevision = synced;
-    updateLastChange(lastChange);
-    m_hasContent = true;
+    if (m_hasContent && !isBehind(parsed->lastChange)) {
+        return MirrorUpdate::NotNewer;
+    }
+    return parsed->since ? applyChanges(*parsed) : applySnapshot(*parsed);
+}
+
+MirrorUpdate PrefixMirror::applyChanges(const MirrorDocument &document)
+{
+    if (!m_hasContent || m_syncedRevision < *document.since) {
+        return MirrorUpdate::Gap;
+    }
+    std::vector<StoreEvent> applied;
+    for (const StoreEvent &event : document.events) {
+        if (applyEvent(event)) {
+            applied.push_back(event);
+        }
+    }
+    remember(std::move(applied));
+    m_syncedRevision = std::max(m_syncedRevision, document.synced);
     m_hooks.changed();
-    return true;
+    return MirrorUpdate::Applied;
+}
+
+MirrorUpdate PrefixMirror::applySnapshot(MirrorDocument &document)
+{
+    if (document.synced < m_syncedRevision) {
+        return MirrorUpdate::NotNewer;
+    }
+    std::map<std::string, StoreItem> items;
+    for (StoreEvent &event : document.events) {
+        items[event.item.key] = std::move(event.item);
+    }
+    updateLastChange(document.lastChange);
+    replaceItems(std::move(items), document.synced);
+    return MirrorUpdate::Applied;
 }
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -4,14 +4,23 @@
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/controllers/storemessages.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 
 namespace chervilpaddle {
 
+//! What became of a document of a peer that was passed to a mirror.
+enum class MirrorUpdate {
+    Applied,
+    NotNewer,
+    Gap, //!< The document continues from a later state than that of the mirror, which needs the changes in between.
+    Malformed,
+};
+
 //! Mirrors all items of the store under a prefix: reads them page by page, then watches for changes, and reads them again if the
-//! changes have been compacted. While the store is unavailable, the snapshot of a peer can be applied instead. The mirrored items
-//! never revert to an older state of the store. Does no I/O. Not thread-safe.
+//! changes have been compacted. A mirror that does not read the store itself is kept up to date with the documents of its peers.
+//! The mirrored items never revert to an older state of the store. Does no I/O. Not thread-safe.
 class PrefixMirror
 {
 public:
@@ -28,22 +37,31 @@
 
     PrefixMirror(std::string prefix, Hooks hooks, std::uint64_t seed);
 
+    //! Starts reading the store.
     void start();
+    //! Whether to go on reading the store. A mirror without content reads it in any case; a watch in progress is not cut off.
+    void setReading(bool isReading);
+    //! Sets since when the store is available according to a peer. Ignored while this mirror reads the store itself.
+    void setAvailableSince(std::optional<TimePoint> since);
 
     //! Whether the items have been read at least once, from the store or from a peer.
     bool hasContent() const;
     const std::map<std::string, StoreItem> &items() const;
     //! The revision of the last change contained in the items.
     Revision lastChange() const;
+    //! The items contain all changes up to this revision of the store.
+    Revision syncedRevision() const;
     //! When the store last became available; nullopt while it is unavailable.
     std::optional<TimePoint> availableSince() const;
 
     //! Whether a peer whose last change has this revision has newer items.
     bool isBehind(Revision peerLastChange) const;
-    //! The items in serialised form, for a peer.
+    //! All items in serialised form, for a peer.
     std::string snapshot() const;
-    //! Applies the snapshot of a peer if it is newer. Returns false if it is not newer or is malformed.
-    bool applySnapshot(const std::string &snapshot);
+    //! The changes after a revision in serialised form, or all items if the changes are no longer known.
+    std::string changesSince(Revision held) const;
+    //! Applies a document of a peer, which holds changes or all items, if it is newer.
+    MirrorUpdate apply(const std::string &document);
 
 private:
     void readPage(const std::string &afterKey);
@@ -54,6 +72,11 @@
     void handleFailure(std::function<void()> retry);
     void markAvailable();
     void updateLastChange(Revision revision);
+    bool applyEvent(const StoreEvent &event);
+    void replaceItems(std::map<std::string, StoreItem> items, Revision synced);
+    void remember(std::vector<StoreEvent> events);
+    MirrorUpdate applyChanges(const struct MirrorDocument &document);
+    MirrorUpdate applySnapshot(struct MirrorDocument &document);
 
     std::string m_prefix;
     Hooks m_hooks;
@@ -65,7 +88,13 @@
     //! m_items contains all changes up to this revision.
     Revision m_syncedRevision;
     Revision m_lastChange;
+    //! The latest changes, oldest first: all those after m_recentSince.
+    std::deque<StoreEvent> m_recentEvents;
+    Revision m_recentSince;
     bool m_hasContent = false;
+    bool m_isReading = true;
+    //! Whether a request to the store or its retry is pending.
+    bool m_isBusy = false;
     int m_failures = 0;
     std::optional<TimePoint> m_answeringSince;
 };
--- /dev/null
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -0,0 +1,212 @@
+#include <chervilpaddle/controllers/storereplication.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilpaddle {
+
+namespace {
+
+//! Changes that arrive within this time are sent to the receivers together.
+constexpr Duration passOnDelay = std::chrono::milliseconds(20);
+constexpr Duration reportInterval = std::chrono::milliseconds(400);
+//! A request that has not been answered for this long is sent to another peer.
+constexpr Duration requestTimeout = std::chrono::milliseconds(300);
+
+} // namespace
+
+StoreReplication::StoreReplication(const Options &options, Hooks hooks)
+    : m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_random(options.seed)
+    , m_role(options.localNode, m_random())
+{
+    m_configuration.message = [](std::string document) { return ConfigurationMessage{std::move(document), {}}; };
+    m_configuration.request = [](Revision held) { return ConfigurationRequest{held, {}}; };
+    makeReplica(m_configuration, options.configurationPrefix, "configuration", m_hooks.configurationChanged);
+    m_instances.message = [](std::string document) { return InstancesMessage{std::move(document)}; };
+    m_instances.request = [](Revision held) { return InstancesRequest{held}; };
+    makeReplica(m_instances, options.instancesPrefix, "instances", m_hooks.instancesChanged);
+}
+
+void StoreReplication::makeReplica(Replica &replica, const std::string &prefix, const char *what, const std::function<void()> &changed)
+{
+    PrefixMirror::Hooks hooks;
+    hooks.clock = m_hooks.clock;
+    hooks.schedule = m_hooks.schedule;
+    hooks.reader = m_hooks.reader;
+    hooks.changed = [this, &replica, changed] {
+        changed();
+        schedulePassingOn(replica);
+    };
+    hooks.availabilityChanged = [this, what](bool isAvailable) { m_hooks.availabilityChanged(what, isAvailable); };
+    replica.mirror = std::make_unique<PrefixMirror>(prefix, std::move(hooks), m_random());
+}
+
+void StoreReplication::start()
+{
+    m_configuration.mirror->start();
+    m_instances.mirror->start();
+}
+
+void StoreReplication::setInstances(const InstanceList &list)
+{
+    m_role.setInstances(list, m_hooks.clock());
+    updateReading();
+}
+
+void StoreReplication::updateReading()
+{
+    const TimePoint now = m_hooks.clock();
+    const bool mustRead = m_role.mustRead(now);
+    for (const Replica *replica : {&m_configuration, &m_instances}) {
+        replica->mirror->setReading(mustRead);
+        replica->mirror->setAvailableSince(m_role.availableSince(now));
+    }
+}
+
+void StoreReplication::tick()
+{
+    updateReading();
+    const TimePoint now = m_hooks.clock();
+    if (m_role.followers().empty() || now - m_reportedAt < reportInterval) {
+        return;
+    }
+    m_reportedAt = now;
+    const StatusMessage status = m_hooks.status();
+    for (const InstanceId &follower : m_role.followers()) {
+        ++m_counters.reportsSent;
+        m_hooks.send(follower, status);
+    }
+}
+
+void StoreReplication::schedulePassingOn(Replica &replica)
+{
+    if (replica.isPassingOnScheduled) {
+        return;
+    }
+    replica.isPassingOnScheduled = true;
+    m_hooks.schedule(passOnDelay, [this, &replica] { passOn(replica); });
+}
+
+void StoreReplication::passOn(Replica &replica)
+{
+    replica.isPassingOnScheduled = false;
+    const PrefixMirror &mirror = *replica.mirror;
+    // At the start every node reads the items itself.
+    const Revision reached = replica.passedOn ? std::min(mirror.lastChange(), mirror.syncedRevision()) : mirror.syncedRevision();
+    const auto since = std::exchange(replica.passedOn, reached);
+    if (!since || m_role.receivers().empty() || !(*since < mirror.lastChange())) {
+        return;
+    }
+    const std::string document = mirror.changesSince(*since);
+    for (const InstanceId &receiver : m_role.receivers()) {
+        ++m_counters.documentsSent;
+        m_counters.documentBytesSent += document.size();
+        m_hooks.send(receiver, replica.message(document));
+    }
+}
+
+void StoreReplication::received(const PeerEvent &event)
+{
+    if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
+        handleStatus(event, *status);
+    } else if (const auto *wantsConfiguration = std::get_if<ConfigurationRequest>(&event.message); wantsConfiguration != nullptr) {
+        serve(m_configuration, event.connection, wantsConfiguration->heldRevision);
+    } else if (const auto *wantsInstances = std::get_if<InstancesRequest>(&event.message); wantsInstances != nullptr) {
+        serve(m_instances, event.connection, wantsInstances->heldRevision);
+    } else if (const auto *configuration = std::get_if<ConfigurationMessage>(&event.message); configuration != nullptr) {
+        handleDocument(m_configuration, event, configuration->manifest);
+    } else if (const auto *instances = std::get_if<InstancesMessage>(&event.message); instances != nullptr) {
+        handleDocument(m_instances, event, instances->document);
+    }
+}
+
+void StoreReplication::handleStatus(const PeerEvent &event, const StatusMessage &status)
+{
+    m_role.recordReport(event.instance, status.storeAvailableFor, m_hooks.clock());
+    requestIfBehind(m_configuration, event.connection, status.configurationRevision);
+    requestIfBehind(m_instances, event.connection, status.instancesRevision);
+}
+
+void StoreReplication::handleDocument(Replica &replica, const PeerEvent &event, const std::string &document)
+{
+    replica.requestedAt.reset();
+    switch (replica.mirror->apply(document)) {
+    case MirrorUpdate::Applied:
+        ++m_counters.documentsApplied;
+        return;
+    case MirrorUpdate::Gap:
+        request(replica, event.connection);
+        return;
+    case MirrorUpdate::Malformed:
+        m_hooks.documentRejected(event.instance);
+        return;
+    case MirrorUpdate::NotNewer:
+        return;
+    }
+}
+
+void StoreReplication::requestIfBehind(Replica &replica, ConnectionId connection, Revision peerLastChange)
+{
+    const bool isRequestPending = replica.requestedAt && m_hooks.clock() - *replica.requestedAt < requestTimeout;
+    if (!isRequestPending && replica.mirror->isBehind(peerLastChange)) {
+        request(replica, connection);
+    }
+}
+
+void StoreReplication::request(Replica &replica, ConnectionId connection)
+{
+    ++m_counters.requestsSent;
+    replica.requestedAt = m_hooks.clock();
+    m_hooks.reply(connection, replica.request(replica.mirror->syncedRevision()));
+}
+
+void StoreReplication::serve(const Replica &replica, ConnectionId connection, Revision held)
+{
+    if (!replica.mirror->hasContent()) {
+        return;
+    }
+    std::string document = replica.mirror->changesSince(held);
+    ++m_counters.documentsSent;
+    m_counters.documentBytesSent += document.size();
+    m_hooks.reply(connection, replica.message(std::move(document)));
+}
+
+std::optional<Duration> StoreReplication::storeAvailableFor() const
+{
+    if (!m_role.isSelected()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> latest;
+    for (const Replica *replica : {&m_configuration, &m_instances}) {
+        const auto since = replica->mirror->availableSince();
+        if (!since) {
+            return std::nullopt;
+        }
+        latest = std::max(latest.value_or(*since), *since);
+    }
+    return m_hooks.clock() - *latest;
+}
+
+const PrefixMirror &StoreReplication::configuration() const
+{
+    return *m_configuration.mirror;
+}
+
+const PrefixMirror &StoreReplication::instances() const
+{
+    return *m_instances.mirror;
+}
+
+const ReaderRole &StoreReplication::role() const
+{
+    return m_role;
+}
+
+const ReplicationCounters &StoreReplication::counters() const
+{
+    return m_counters;
+}
+
+} // namespace chervilpaddle
--- /dev/null
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/prefixmirror.h>
+#include <chervilpaddle/controllers/readerrole.h>
+
+#include <functional>
+#include <string>
+
+namespace chervilpaddle {
+
+//! Counters of the messages that replicate the store's items between nodes.
+struct ReplicationCounters
+{
+    std::uint64_t documentsSent = 0;
+    std::uint64_t documentBytesSent = 0;
+    std::uint64_t documentsApplied = 0;
+    std::uint64_t requestsSent = 0;
+    std::uint64_t reportsSent = 0;
+};
+
+//! Keeps the configuration and the instance entries of the platform's store up to date at every node. The readers of each data
+//! centre watch the store and send each change once to the nodes of their data centre and to the readers of the others. A node that
+//! has missed a change asks one peer at a time for the changes since the revision that it holds. See docs/design/control-traffic.md.
+//! Does no I/O. Not thread-safe.
+class StoreReplication
+{
+public:
+    struct Hooks
+    {
+        Clock clock;
+        Scheduler schedule;
+        StoreReader reader;
+        //! Sends a message to an instance over any open link.
+        std::function<void(const InstanceId &, const PeerMessage &)> send;
+        std::function<void(ConnectionId, const PeerMessage &)> reply;
+        //! The status message of this node, which reports its access to the store.
+        std::function<StatusMessage()> status;
+        std::function<void()> configurationChanged;
+        std::function<void()> instancesChanged;
+        //! Called when this node's own access to the store is gained or lost. `what` names the items.
+        std::function<void(const char *what, bool isAvailable)> availabilityChanged;
+        //! A document of a peer cannot be read.
+        std::function<void(const InstanceId &)> documentRejected;
+    };
+    struct Options
+    {
+        LocalNode localNode;
+        std::string configurationPrefix;
+        std::string instancesPrefix;
+        std::uint64_t seed = 0;
+    };
+
+    StoreReplication(const Options &options, Hooks hooks);
+
+    //! Reads all items from the store.
+    void start();
+    //! Sets the published instances. Precondition: called whenever they change.
+    void setInstances(const InstanceList &list);
+    //! Reads or stops reading the store, and reports to the nodes that rely on this one. To be called about ten times per second.
+    void tick();
+    //! Handles status messages, requests and documents of peers. Other messages are ignored.
+    void received(const PeerEvent &event);
+    //! For how long this node has had access to the store; nullopt if it has none or does not read it.
+    std::optional<Duration> storeAvailableFor() const;
+
+    const PrefixMirror &configuration() const;
+    const PrefixMirror &instances() const;
+    const ReaderRole &role() const;
+    const ReplicationCounters &counters() const;
+
+private:
+    //! One replicated prefix of the store.
+    struct Replica
+    {
+        std::unique_ptr<PrefixMirror> mirror;
+        std::function<PeerMessage(std::string document)> message;
+        std::function<PeerMessage(Revision held)> request;
+        //! Receivers were sent all changes up to this revision.
+        std::optional<Revision> passedOn;
+        bool isPassingOnScheduled = false;
+        //! When changes were last requested from a peer; not set if no request is pending.
+        std::optional<TimePoint> requestedAt;
+    };
+
+    void makeReplica(Replica &replica, const std::string &prefix, const char *what, const std::function<void()> &changed);
+    void updateReading();
+    void schedulePassingOn(Replica &replica);
+    void passOn(Replica &replica);
+    void handleStatus(const PeerEvent &event, const StatusMessage &status);
+    void handleDocument(Replica &replica, const PeerEvent &event, const std::string &document);
+    void requestIfBehind(Replica &replica, ConnectionId connection, Revision peerLastChange);
+    void request(Replica &replica, ConnectionId connection);
+    void serve(const Replica &replica, ConnectionId connection, Revision held);
+
+    Options m_options;
+    Hooks m_hooks;
+    RandomSource m_random;
+    ReaderRole m_role;
+    Replica m_configuration;
+    Replica m_instances;
+    ReplicationCounters m_counters;
+    TimePoint m_reportedAt;
+};
+
+} // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -18,6 +18,7 @@
 constexpr int initialSlots = 16;
 constexpr Duration executorTickInterval = std::chrono::milliseconds(10);
 constexpr Duration linkTickInterval = std::chrono::milliseconds(50);
+constexpr Duration replicationTickInterval = std::chrono::milliseconds(100);
 constexpr Duration directoryTickInterval = std::chrono::milliseconds(100);
 //! Up to this many instances every node links to every other; above it each node links to a subset of peers.
 constexpr std::size_t maxFullMeshInstances = 128;
@@ -104,10 +105,12 @@
         [this] { return hello(); }, [this] { return status(); }, [this](const PeerEvent &event) { handlePeerMessage(event); }};
     m_links = std::make_unique<LinkController>(
         self, m_settings.service, makeLinkHooks(m_clock, *m_transport, *m_router, m_log, std::move(messageHooks)), m_random());
-    m_configurationMirror = std::make_unique<PrefixMirror>(
-        m_protocol.configurationPrefix, mirrorHooks("configuration", [this] { configurationChanged(); }), m_random());
-    m_instancesMirror =
-        std::make_unique<PrefixMirror>(m_protocol.instancesPrefix, mirrorHooks("instances", [this] { instancesChanged(); }), m_random());
+    m_replication =
+        std::make_unique<StoreReplication>(StoreReplication::Options{{m_settings.instance, m_settings.dataCentre, m_settings.service, {}},
+                                                                     m_protocol.configurationPrefix,
+                                                                     m_protocol.instancesPrefix,
+                                                                     m_random()},
+                                           replicationHooks());
 }
 
 std::error_code MeshCore::start()
@@ -115,33 +118,40 @@
     if (const std::error_code error = m_transport->listen(m_settings.peers); error) {
         return error;
     }
-    m_configurationMirror->start();
-    m_instancesMirror->start();
+    m_replication->start();
     schedulePeriodically(m_context, executorTickInterval, [this] { m_executor->tick(); });
     schedulePeriodically(m_context, linkTickInterval, [this] { m_links->tick(); });
     schedulePeriodically(m_context, clearingRankTickInterval, [this] { publishClearingRank(); });
+    schedulePeriodically(m_context, replicationTickInterval, [this] { m_replication->tick(); });
     schedulePeriodically(m_context, directoryTickInterval, [this] {
-        if (m_directory.expire(m_instancesMirror->availableSince(), m_clock())) {
+        if (m_directory.expire(m_replication->instances().availableSince(), m_clock())) {
             applyInstances();
         }
     });
     return {};
 }
 
-PrefixMirror::Hooks MeshCore::mirrorHooks(const char *what, std::function<void()> changed)
+StoreReplication::Hooks MeshCore::replicationHooks()
 {
-    PrefixMirror::Hooks hooks;
+    StoreReplication::Hooks hooks;
     hooks.clock = m_clock;
     hooks.schedule = [this](Duration delay, std::function<void()> action) { scheduleOn(m_context, delay, std::move(action)); };
     hooks.reader = m_protocol.storeReader(m_storeClient);
-    hooks.changed = std::move(changed);
-    hooks.availabilityChanged = [this, what](bool isAvailable) {
+    hooks.send = [this](const InstanceId &instance, const PeerMessage &message) { m_links->sendOnAnyConnection(instance, message); };
+    hooks.reply = [this](ConnectionId connection, const PeerMessage &message) { m_links->reply(connection, message); };
+    hooks.status = [this] { return status(); };
+    hooks.configurationChanged = [this] { configurationChanged(); };
+    hooks.instancesChanged = [this] { instancesChanged(); };
+    hooks.availabilityChanged = [this](const char *what, bool isAvailable) {
         if (isAvailable) {
             m_log.info({"platform reachable", ResultCode::Success, {}, what});
         } else {
             m_log.warn({"platform unreachable", ResultCode::PlatformUnreachable, {}, what});
         }
     };
+    hooks.documentRejected = [this](const InstanceId &instance) {
+        m_log.warn({"document of a peer ignored: it cannot be read", ResultCode::FrameMalformed, {}, instance.value()});
+    };
     return hooks;
 }
 
@@ -265,7 +275,7 @@
                 ResultCode::NoInstance,
                 pending.request,
                 "route " + pending.route->name.value() + ", no reachable instance of service " + service->value()
-                    + ", instance list revision " + std::to_string(m_instancesMirror->lastChange().value())});
+                    + ", instance list revision " + std::to_string(m_replication->instances().lastChange().value())});
     respond(pending, refusedResult(ResultCode::NoInstance));
     return true;
 }
@@ -335,7 +345,7 @@
                 "route " + pending.route->name.value() + ", operation " + pending.operation.value() + ", after "
                     + std::to_string(elapsed.count()) + " ms and " + std::to_string(result.attempts) + " attempts" + last
                     + ", configuration version " + std::to_string(pending.table->revision().value()) + ", instance list revision "
-                    + std::to_string(m_instancesMirror->lastChange().value())});
+                    + std::to_string(m_replication->instances().lastChange().value())});
 }
 
 //! The retry delay is random, so that refused callers do not return all at once. It is at most half of the route's latency
@@ -398,7 +408,10 @@
     } else if (const auto *voided = std::get_if<VoidTicketMessage>(&event.message); voided != nullptr) {
         m_executor->voidTicket(voided->ticket);
     } else {
-        handleDocumentMessage(event);
+        if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
+            setPeerClearingRank(event.instance, status->clearingRank);
+        }
+        m_replication->received(event);
     }
 }
 
@@ -436,29 +449,7 @@
                         + std::to_string(m_executor->queued())});
         m_publishedClearingRank = rank;
         m_clearingRankPublishedAt = now;
-        m_links->broadcastStatus();
-    }
-}
-
-//! Peers announce the revisions that they hold; a node that is behind requests the newer document.
-void MeshCore::handleDocumentMessage(const PeerEvent &event)
-{
-    if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
-        setPeerClearingRank(event.instance, status->clearingRank);
-        if (m_configurationMirror->isBehind(status->configurationRevision)) {
-            m_links->reply(event.connection, ConfigurationRequest{m_configurationMirror->lastChange(), {}});
-        }
-        if (m_instancesMirror->isBehind(status->instancesRevision)) {
-            m_links->reply(event.connection, InstancesRequest{m_instancesMirror->lastChange()});
-        }
-    } else if (std::holds_alternative<ConfigurationRequest>(event.message)) {
-        m_links->reply(event.connection, ConfigurationMessage{m_configurationMirror->snapshot(), {}});
-    } else if (std::holds_alternative<InstancesRequest>(event.message)) {
-        m_links->reply(event.connection, InstancesMessage{m_instancesMirror->snapshot()});
-    } else if (const auto *configuration = std::get_if<ConfigurationMessage>(&event.message); configuration != nullptr) {
-        m_configurationMirror->applySnapshot(configuration->manifest);
-    } else if (const auto *instances = std::get_if<InstancesMessage>(&event.message); instances != nullptr) {
-        m_instancesMirror->applySnapshot(instances->document);
+        m_links->sendStatusToInstances();
     }
 }
 
@@ -472,43 +463,63 @@
 
 void MeshCore::configurationChanged()
 {
-    for (const auto &[key, item] : m_configurationMirror->items()) {
-        std::string reason;
-        auto table = m_protocol.decodeRoutes(item, reason);
-        if (!table) {
-            m_log.warn({"configuration rejected", ResultCode::PlatformMalformed, {}, reason});
-            continue;
+    for (const auto &[key, item] : m_replication->configuration().items()) {
+        if (Revision &decoded = m_decodedConfigurations[key]; decoded < item.revision) {
+            decoded = item.revision;
+            decodeConfiguration(key, item);
         }
-        // Versions never go back, whatever order they arrive in.
-        if (!(m_routes->revision() < table->revision())) {
-            continue;
-        }
-        m_routes = std::make_shared<const RouteTable>(std::move(*table));
-        m_log.info({"configuration applied",
-                    ResultCode::Success,
-                    {},
-                    "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
-                        + " routes, store revision " + std::to_string(item.revision.value())});
     }
-    m_links->broadcastStatus();
+}
+
+void MeshCore::decodeConfiguration(const std::string &key, const StoreItem &item)
+{
+    std::string reason;
+    auto table = m_protocol.decodeRoutes(item, reason);
+    if (!table) {
+        m_log.warn({"configuration rejected", ResultCode::PlatformMalformed, {}, key + ": " + reason});
+        return;
+    }
+    // Versions never go back, whatever order they arrive in.
+    if (!(m_routes->revision() < table->revision())) {
+        return;
+    }
+    m_routes = std::make_shared<const RouteTable>(std::move(*table));
+    m_log.info({"configuration applied",
+                ResultCode::Success,
+                {},
+                "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
+                    + " routes, store revision " + std::to_string(item.revision.value())});
 }
 
 void MeshCore::instancesChanged()
 {
+    const auto &items = m_replication->instances().items();
     std::vector<InstanceDirectory::Entry> entries;
-    for (const auto &[key, item] : m_instancesMirror->items()) {
+    for (const auto &[key, item] : items) {
+        if (const auto &entry = decodeEntry(key, item); entry) {
+            entries.push_back(*entry);
+        }
+    }
+    for (auto decoded = m_decodedEntries.begin(); decoded != m_decodedEntries.end();) {
+        decoded = items.count(decoded->first) == 0 ? m_decodedEntries.erase(decoded) : std::next(decoded);
+    }
+    m_directory.update(entries, m_replication->instances().availableSince(), m_clock());
+    applyInstances();
+}
+
+const std::optional<InstanceDirectory::Entry> &MeshCore::decodeEntry(const std::string &key, const StoreItem &item)
+{
+    DecodedEntry &decoded = m_decodedEntries[key];
+    if (decoded.revision < item.revision) {
         std::string reason;
-        auto entry = m_protocol.decodeInstance(item, reason);
-        if (!entry) {
+        decoded = {item.revision, m_protocol.decodeInstance(item, reason)};
+        if (!decoded.entry) {
             reportInvalidEntry(key, reason);
-            continue;
+        } else {
+            decoded.entry->instance.peerAddress = {decoded.entry->instance.instance.value(), m_settings.peers.port};
         }
-        entry->instance.peerAddress = {entry->instance.instance.value(), m_settings.peers.port};
-        entries.push_back(std::move(*entry));
     }
-    m_directory.update(entries, m_instancesMirror->availableSince(), m_clock());
-    applyInstances();
-    m_links->broadcastStatus();
+    return decoded.entry;
 }
 
 void MeshCore::reportInvalidEntry(const std::string &key, const std::string &reason)
@@ -536,6 +547,9 @@
             m_log.info({"instance list names this node's backend server", ResultCode::Success, {}, m_ownInstance->backend.value()});
         }
     }
+    InstanceList list;
+    list.instances = m_instances;
+    m_replication->setInstances(list);
     std::vector<PublishedInstance> desiredPeers;
     if (m_instances.size() <= maxFullMeshInstances) {
         desiredPeers = m_instances;
@@ -544,8 +558,6 @@
         for (const ServiceName &service : m_routes->services()) {
             localNode.calledServices.insert(service);
         }
-        InstanceList list;
-        list.instances = m_instances;
         desiredPeers = selectPeers(list, localNode);
     }
     m_links->setDesiredPeers(desiredPeers);
@@ -557,7 +569,7 @@
     m_log.info({"instance list applied",
                 ResultCode::Success,
                 {},
-                "revision " + std::to_string(m_instancesMirror->lastChange().value()) + ", " + std::to_string(m_instances.size())
+                "revision " + std::to_string(m_replication->instances().lastChange().value()) + ", " + std::to_string(m_instances.size())
                     + " instances, " + std::to_string(leaving) + " leaving"});
 }
 
@@ -571,7 +583,7 @@
 
 bool MeshCore::isReady() const
 {
-    return !m_shutdown.hasStarted() && m_routes->revision().value() != 0 && m_instancesMirror->hasContent();
+    return !m_shutdown.hasStarted() && m_routes->revision().value() != 0 && m_replication->instances().hasContent();
 }
 
 void MeshCore::beginShutdown()
@@ -618,9 +630,10 @@
     StatusMessage status;
     status.draining = m_shutdown.hasStarted();
     status.incarnation = m_executor->incarnation();
-    status.configurationRevision = m_configurationMirror->lastChange();
-    status.instancesRevision = m_instancesMirror->lastChange();
+    status.configurationRevision = m_replication->configuration().lastChange();
+    status.instancesRevision = m_replication->instances().lastChange();
     status.clearingRank = m_executor->clearingRank();
+    status.storeAvailableFor = m_replication->storeAvailableFor();
     return status;
 }
 
@@ -654,14 +667,9 @@
     return *m_routes;
 }
 
-const PrefixMirror &MeshCore::configuration() const
-{
-    return *m_configurationMirror;
-}
-
-const PrefixMirror &MeshCore::instances() const
+const StoreReplication &MeshCore::replication() const
 {
-    return *m_instancesMirror;
+    return *m_replication;
 }
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -4,8 +4,8 @@
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
-#include <chervilpaddle/controllers/prefixmirror.h>
 #include <chervilpaddle/controllers/retrybudget.h>
+#include <chervilpaddle/controllers/storereplication.h>
 #include <chervilpaddle/controllers/trafficsplit.h>
 #include <chervilpaddle/mesh/meshbackend.h>
 #include <chervilpaddle/node/logging.h>
@@ -63,8 +63,7 @@
     const LinkController &links() const;
     const PeerTransport &transport() const;
     const RouteTable &routes() const;
-    const PrefixMirror &configuration() const;
-    const PrefixMirror &instances() const;
+    const StoreReplication &replication() const;
 
 private:
     //! A request in flight, with what is needed to log it and to respond.
@@ -82,8 +81,15 @@
         RunId parentRun;
     };
 
+    //! An instance entry of the store; empty if the item cannot be decoded.
+    struct DecodedEntry
+    {
+        Revision revision;
+        std::optional<InstanceDirectory::Entry> entry;
+    };
+
     void makeControllers();
-    PrefixMirror::Hooks mirrorHooks(const char *what, std::function<void()> changed);
+    StoreReplication::Hooks replicationHooks();
     Executor::Hooks executorHooks();
     Router::Hooks routerHooks();
 
@@ -106,12 +112,13 @@
     bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
     void submitLocally(const PeerMessage &message);
     void handlePeerMessage(const PeerEvent &event);
-    void handleDocumentMessage(const PeerEvent &event);
     std::optional<ResultCode> startRefusal(const CallMessage &call) const;
     void submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply);
 
     void configurationChanged();
     void instancesChanged();
+    const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
+    void decodeConfiguration(const std::string &key, const StoreItem &item);
     void reportInvalidEntry(const std::string &key, const std::string &reason);
     void applyInstances();
     void updateOwnCandidate();
@@ -144,8 +151,11 @@
     std::unique_ptr<Executor> m_executor;
     std::unique_ptr<Router> m_router;
     std::unique_ptr<LinkController> m_links;
-    std::unique_ptr<PrefixMirror> m_configurationMirror;
-    std::unique_ptr<PrefixMirror> m_instancesMirror;
+    std::unique_ptr<StoreReplication> m_replication;
+    //! Decoded entries by key, so that only changed entries are decoded again.
+    std::unordered_map<std::string, DecodedEntry> m_decodedEntries;
+    //! The latest revision of each configuration item that was decoded.
+    std::unordered_map<std::string, Revision> m_decodedConfigurations;
     MeshCounters m_counters;
 };
 
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -35,12 +35,27 @@
         gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
         gauge("chervilpaddle_instances_revision",
               "Last change of the instance list in force",
-              static_cast<double>(core.instances().lastChange().value()));
+              static_cast<double>(core.replication().instances().lastChange().value()));
+        scrapeReplication(core.replication());
         std::vector<prometheus::MetricFamily> latencies = {requestLatencies(counters)};
         return scrapeCommon(core, std::move(latencies));
     }
 
 private:
+    void scrapeReplication(const StoreReplication &replication)
+    {
+        const ReplicationCounters &counters = replication.counters();
+        counter("chervilpaddle_replication_documents_sent_total", "Documents sent to peers", counters.documentsSent);
+        counter("chervilpaddle_replication_bytes_sent_total", "Size of these documents", counters.documentBytesSent);
+        counter("chervilpaddle_replication_documents_applied_total", "Documents of peers that were newer", counters.documentsApplied);
+        counter("chervilpaddle_replication_requests_total", "Requests to peers for changes that were missed", counters.requestsSent);
+        counter("chervilpaddle_replication_reports_total", "Reports sent to the nodes that rely on this one", counters.reportsSent);
+        gauge("chervilpaddle_store_reader", "1 while this node is selected to read the store", replication.role().isSelected() ? 1 : 0);
+        gauge("chervilpaddle_store_available",
+              "1 while the store is known to be available",
+              replication.instances().availableSince() ? 1 : 0);
+    }
+
     //! Built from the core's histograms, as the histograms of prometheus-cpp would have to be updated during requests.
     static prometheus::MetricFamily requestLatencies(const MeshCounters &counters)
     {
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maxNestingDepth = 4;
 constexpr std::size_t maxElements = 50'000;
 constexpr std::uint64_t maxDurationMicroseconds = 3'600'000'000ULL;
+//! The time for which the store has been available is not distinguished beyond a day.
+constexpr std::uint64_t maxStoreAvailability = 86'400'000'000;
 constexpr int maxRetryAllowance = 1'000;
 constexpr int hexadecimal = 16;
 
@@ -357,13 +359,17 @@
 
 json encode(const StatusMessage &m)
 {
-    return {{"kind", "status"},
-            {"draining", m.draining},
-            {"drainSeen", m.drainAcknowledged},
-            {"incarnation", m.incarnation.value()},
-            {"configuration", m.configurationRevision.value()},
-            {"instances", m.instancesRevision.value()},
-            {"clearing", m.clearingRank}};
+    json v = {{"kind", "status"},
+              {"draining", m.draining},
+              {"drainSeen", m.drainAcknowledged},
+              {"incarnation", m.incarnation.value()},
+              {"configuration", m.configurationRevision.value()},
+              {"instances", m.instancesRevision.value()},
+              {"clearing", m.clearingRank}};
+    if (m.storeAvailableFor) {
+        v["storeAvailable"] = m.storeAvailableFor->count();
+    }
+    return v;
 }
 
 StatusMessage decodeStatus(const json &v)
@@ -375,6 +381,9 @@
     m.configurationRevision = Revision(decodeUnsigned(v.at("configuration")));
     m.instancesRevision = Revision(decodeUnsigned(v.at("instances")));
     m.clearingRank = v.contains("clearing") ? decodeFinite(v.at("clearing")) : 0;
+    if (v.contains("storeAvailable")) {
+        m.storeAvailableFor = Duration(static_cast<std::int64_t>(std::min(decodeUnsigned(v.at("storeAvailable")), maxStoreAvailability)));
+    }
     return m;
 }
 
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -156,6 +157,8 @@
     //! Entry nodes reject requests ranked below this value, to protect the sender's backend server from overload; see
     //! ClearingRank.
     Rank clearingRank = 0;
+    //! For how long the sender, a reader of the platform's store, has had access to it; not set if it has none.
+    std::optional<Duration> storeAvailableFor;
 };
 
 //! Requests a newer configuration. Lists the digests of the contracts already held, so that only changed ones are sent.
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -63,6 +63,11 @@
         const Watch watch = std::move(watches.front());
         watches.pop_front();
         watch.reply({StoreStatus::Success, events, Revision(revision)});
+        while (!scheduled.empty()) {
+            const auto action = std::move(scheduled.front());
+            scheduled.pop_front();
+            action();
+        }
     }
 
     void failWatch(StoreStatus status)
@@ -131,12 +136,12 @@
     behind.page({item("p/a", "old", 3), item("p/b", "old", 4)}, 10);
     cr_assert(behind.mirror.isBehind(ahead.mirror.lastChange()));
     const std::string old = behind.mirror.snapshot();
-    cr_assert(behind.mirror.applySnapshot(ahead.mirror.snapshot()));
+    cr_assert(behind.mirror.apply(ahead.mirror.snapshot()) == MirrorUpdate::Applied);
     cr_assert_str_eq(behind.mirror.items().at("p/a").value.c_str(), "new");
     cr_assert_eq(behind.mirror.items().size(), 1);
-    cr_assert_not(ahead.mirror.applySnapshot(old));
-    cr_assert_not(behind.mirror.applySnapshot(old));
-    cr_assert_not(behind.mirror.applySnapshot("not JSON"));
+    cr_assert(ahead.mirror.apply(old) == MirrorUpdate::NotNewer);
+    cr_assert(behind.mirror.apply(old) == MirrorUpdate::NotNewer);
+    cr_assert(behind.mirror.apply("not JSON") == MirrorUpdate::Malformed);
     // The response to a watch started earlier does not overwrite newer items of the snapshot.
     behind.events({{item("p/a", "older", 20), false}}, 20);
     cr_assert_str_eq(behind.mirror.items().at("p/a").value.c_str(), "new");
@@ -161,3 +166,67 @@
     cr_expect_leq(shortest, 3s);
     cr_expect_leq(longest, 6s);
 }
+
+Test(prefixmirror, changes_bring_a_peer_up_to_date_without_the_other_items)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
+    FakeStore behind;
+    behind.mirror.start();
+    behind.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
+    ahead.events({{item("p/a", "", 11), true}, {item("p/c", "2", 12), false}}, 12);
+    const std::string changes = ahead.mirror.changesSince(Revision(10));
+    cr_assert_eq(changes.find("p/b"), std::string::npos, "an unchanged item is not sent");
+    cr_assert(behind.mirror.apply(changes) == MirrorUpdate::Applied);
+    cr_assert_eq(behind.mirror.items().count("p/a"), 0);
+    cr_assert_eq(behind.mirror.items().count("p/c"), 1);
+    cr_assert_eq(behind.mirror.items().size(), 2);
+}
+
+Test(prefixmirror, changes_that_do_not_continue_from_the_held_items_are_not_applied)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "1", 3)}, 10);
+    FakeStore behind;
+    behind.mirror.start();
+    behind.page({item("p/a", "1", 3)}, 10);
+    ahead.events({{item("p/b", "1", 11), false}}, 11);
+    ahead.events({{item("p/c", "1", 12), false}}, 12);
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(Revision(11))) == MirrorUpdate::Gap);
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(behind.mirror.syncedRevision())) == MirrorUpdate::Applied);
+    cr_assert_eq(behind.mirror.items().size(), 3);
+}
+
+//! After a compaction the items are read again; a peer that missed this still learns of the removal from the changes.
+Test(prefixmirror, changes_include_what_a_repeated_read_found)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
+    FakeStore behind;
+    behind.mirror.start();
+    behind.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
+    ahead.failWatch(StoreStatus::Compacted);
+    ahead.page({item("p/b", "2", 40)}, 50);
+    cr_assert(behind.mirror.isBehind(ahead.mirror.lastChange()));
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(Revision(10))) == MirrorUpdate::Applied);
+    cr_assert_eq(behind.mirror.items().size(), 1);
+    cr_assert_str_eq(behind.mirror.items().at("p/b").value.c_str(), "2");
+}
+
+Test(prefixmirror, a_mirror_that_stops_reading_finishes_its_watch_and_can_resume)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3)}, 10);
+    store.mirror.setReading(false);
+    store.events({{item("p/a", "2", 11), false}}, 11);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "2");
+    cr_assert(store.watches.empty());
+    store.mirror.setReading(true);
+    store.mirror.setReading(true);
+    cr_assert_eq(store.watches.size(), 1);
+    cr_assert_eq(store.watches.front().after.value(), 11);
+}
--- /dev/null
+++ b/tests/controllers/storereplication.cpp
@@ -0,0 +1,311 @@
+#include "virtualtime.h"
+
+#include <chervilpaddle/controllers/storereplication.h>
+
+#include <criterion/criterion.h>
+#include <map>
+#include <set>
+
+using namespace chervilpaddle;
+using namespace chervilpaddle::support;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int dataCentres = 3;
+constexpr Duration storeDelay = 4ms;
+constexpr Duration linkDelay = 1ms;
+
+//! A store that holds watches, and a fleet of nodes that replicate it. Links between nodes work unless a node is cut off.
+class ReplicatedFleet
+{
+public:
+    explicit ReplicatedFleet(int size)
+    {
+        for (int i = 0; i < size; ++i) {
+            PublishedInstance instance;
+            instance.instance = InstanceId("n" + std::to_string(i));
+            instance.service = ServiceName("s");
+            instance.dataCentre = DataCentreName("dc" + std::to_string(i % dataCentres));
+            m_list.instances.push_back(instance);
+        }
+        write("i/first", "1");
+        for (int i = 0; i < size; ++i) {
+            addNode(i);
+        }
+        time.runFor(8s);
+    }
+
+    void write(const std::string &key, const std::string &value)
+    {
+        const StoreItem item{key, value, Revision(++m_revision)};
+        m_items[key] = item;
+        m_history.push_back({item, false});
+        for (auto &watch : std::exchange(m_watches, {})) {
+            answerWatch(watch);
+        }
+    }
+
+    //! The number of nodes that hold the value of a key.
+    int holders(const std::string &key, const std::string &value) const
+    {
+        int count = 0;
+        for (const auto &[id, node] : nodes) {
+            const auto &items = node->instances().items();
+            const auto item = items.find(key);
+            count += item != items.end() && item->second.value == value ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::vector<InstanceId> selectedReaders() const
+    {
+        std::vector<InstanceId> readers;
+        for (const auto &[id, node] : nodes) {
+            if (node->role().isSelected()) {
+                readers.push_back(id);
+            }
+        }
+        return readers;
+    }
+
+    VirtualTime time;
+    std::map<InstanceId, std::unique_ptr<StoreReplication>> nodes;
+    //! Nodes that no longer send or receive anything.
+    std::set<InstanceId> stopped;
+    //! Nodes whose requests to the store fail.
+    std::set<InstanceId> withoutStore;
+    int storeCalls = 0;
+    int documents = 0;
+    std::size_t documentBytes = 0;
+    int otherMessages = 0;
+
+private:
+    struct Watch
+    {
+        InstanceId node;
+        std::string prefix;
+        Revision after;
+        std::function<void(const StoreChanges &)> reply;
+        std::uint64_t number = 0;
+    };
+
+    void addNode(int index)
+    {
+        const PublishedInstance &own = m_list.instances[static_cast<std::size_t>(index)];
+        const InstanceId id = own.instance;
+        StoreReplication::Hooks hooks;
+        hooks.clock = time.clock();
+        hooks.schedule = time.scheduler();
+        hooks.reader = readerOf(id);
+        hooks.send = [this, id](const InstanceId &to, const PeerMessage &message) { deliver(id, to, message); };
+        hooks.reply = [this, id](ConnectionId to, const PeerMessage &message) {
+            deliver(id, m_list.instances[to.value()].instance, message);
+        };
+        hooks.status = [this, id] { return statusOf(id); };
+        hooks.configurationChanged = [] {};
+        hooks.instancesChanged = [] {};
+        hooks.availabilityChanged = [](const char * /*what*/, bool /*isAvailable*/) {};
+        hooks.documentRejected = [](const InstanceId & /*from*/) { cr_assert_fail("a document could not be read"); };
+        const StoreReplication::Options options{{id, own.dataCentre, own.service, {}}, "c/", "i/", static_cast<std::uint64_t>(index) + 1};
+        auto &node = nodes[id] = std::make_unique<StoreReplication>(options, std::move(hooks));
+        m_numbers[id] = static_cast<std::uint64_t>(index);
+        node->start();
+        node->setInstances(m_list);
+        tick(id);
+    }
+
+    void tick(const InstanceId &id)
+    {
+        if (stopped.count(id) == 0) {
+            nodes.at(id)->tick();
+        }
+        time.after(100ms, [this, id] { tick(id); });
+    }
+
+    StatusMessage statusOf(const InstanceId &id) const
+    {
+        StatusMessage status;
+        status.configurationRevision = nodes.at(id)->configuration().lastChange();
+        status.instancesRevision = nodes.at(id)->instances().lastChange();
+        status.storeAvailableFor = nodes.at(id)->storeAvailableFor();
+        return status;
+    }
+
+    void deliver(const InstanceId &from, const InstanceId &to, const PeerMessage &message)
+    {
+        if (const auto *document = std::get_if<InstancesMessage>(&message); document != nullptr) {
+            ++documents;
+            documentBytes += document->document.size();
+        } else {
+            ++otherMessages;
+        }
+        time.after(linkDelay, [this, from, to, message] {
+            if (stopped.count(from) == 0 && stopped.count(to) == 0) {
+                nodes.at(to)->received({ConnectionId(m_numbers.at(from)), from, message, Duration::zero()});
+            }
+        });
+    }
+
+    StoreReader readerOf(const InstanceId &id)
+    {
+        StoreReader reader;
+        reader.range = [this, id](const std::string &prefix, const std::string & /*after*/, auto reply) {
+            ++storeCalls;
+            time.after(storeDelay, [this, id, prefix, reply] {
+                StorePage page;
+                if (withoutStore.count(id) == 0) {
+                    page = {StoreStatus::Success, itemsUnder(prefix), false, Revision(m_revision)};
+                }
+                reply(page);
+            });
+        };
+        reader.watch = [this, id](const std::string &prefix, Revision after, Duration timeout, auto reply) {
+            ++storeCalls;
+            Watch watch{id, prefix, after, reply, ++m_lastWatch};
+            if (withoutStore.count(id) != 0 || !changesUnder(prefix, after).empty()) {
+                answerWatch(watch);
+                return;
+            }
+            m_watches.push_back(watch);
+            time.after(timeout, [this, number = watch.number] { endWatch(number); });
+        };
+        return reader;
+    }
+
+    void endWatch(std::uint64_t number)
+    {
+        for (auto watch = m_watches.begin(); watch != m_watches.end(); ++watch) {
+            if (watch->number == number) {
+                const Watch ended = *watch;
+                m_watches.erase(watch);
+                answerWatch(ended);
+                return;
+            }
+        }
+    }
+
+    void answerWatch(const Watch &watch)
+    {
+        StoreChanges changes;
+        if (withoutStore.count(watch.node) == 0) {
+            changes = {StoreStatus::Success, changesUnder(watch.prefix, watch.after), Revision(m_revision)};
+        }
+        time.after(storeDelay, [this, watch, changes] {
+            if (stopped.count(watch.node) == 0) {
+                watch.reply(changes);
+            }
+        });
+    }
+
+    std::vector<StoreItem> itemsUnder(const std::string &prefix) const
+    {
+        std::vector<StoreItem> items;
+        for (const auto &[key, item] : m_items) {
+            if (key.rfind(prefix, 0) == 0) {
+                items.push_back(item);
+            }
+        }
+        return items;
+    }
+
+    std::vector<StoreEvent> changesUnder(const std::string &prefix, Revision after) const
+    {
+        std::vector<StoreEvent> events;
+        for (const StoreEvent &event : m_history) {
+            if (after < event.item.revision && event.item.key.rfind(prefix, 0) == 0) {
+                events.push_back(event);
+            }
+        }
+        return events;
+    }
+
+    InstanceList m_list;
+    std::map<InstanceId, std::uint64_t> m_numbers;
+    std::map<std::string, StoreItem> m_items;
+    std::vector<StoreEvent> m_history;
+    std::uint64_t m_revision = 0;
+    std::vector<Watch> m_watches;
+    std::uint64_t m_lastWatch = 0;
+};
+
+} // namespace
+
+//! The bounds are those of docs/design/control-traffic.md: the messages for one change grow with the number of nodes, and the calls
+//! to the store with the number of data centres.
+Test(storereplication, the_cost_of_a_change_grows_with_the_fleet_and_not_with_its_square)
+{
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    for (const int size : {50, 100, 200, 400}) {
+        ReplicatedFleet fleet(size);
+        fleet.write("i/warm", std::string(200, 'w'));
+        fleet.time.runFor(1s);
+        fleet.storeCalls = 0;
+        fleet.documents = 0;
+        fleet.documentBytes = 0;
+        fleet.write("i/changed", std::string(200, 'c'));
+        fleet.time.runFor(200ms);
+        cr_assert_eq(fleet.holders("i/changed", std::string(200, 'c')), size, "%d nodes", size);
+        const int maxDocuments = static_cast<int>(storeReadersPerDataCentre) * size + readers * readers;
+        cr_expect_leq(fleet.documents, maxDocuments, "%d documents at %d nodes", fleet.documents, size);
+        cr_expect_leq(
+            fleet.documentBytes, static_cast<std::size_t>(maxDocuments) * 400, "%zu bytes at %d nodes", fleet.documentBytes, size);
+        // Each reader renews the watch that the change has completed; a few others end by themselves.
+        cr_expect_leq(fleet.storeCalls, 3 * readers, "%d calls to the store at %d nodes", fleet.storeCalls, size);
+    }
+}
+
+Test(storereplication, only_readers_call_the_store_while_nothing_changes)
+{
+    ReplicatedFleet fleet(60);
+    fleet.time.runFor(10s);
+    fleet.storeCalls = 0;
+    fleet.time.runFor(10s);
+    // Two watches of a reader end by themselves every 2 s or later.
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    cr_expect_leq(fleet.storeCalls, readers * 2 * 5);
+}
+
+//! All selected readers of every data centre are killed at once: the other nodes read the store themselves until others are
+//! selected, and hold the next change within the two seconds that the platform's users allow.
+Test(storereplication, nodes_read_the_store_themselves_when_all_readers_are_gone)
+{
+    ReplicatedFleet fleet(30);
+    const auto readers = fleet.selectedReaders();
+    fleet.stopped.insert(readers.begin(), readers.end());
+    fleet.time.runFor(100ms);
+    fleet.write("i/changed", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/changed", "2"), 30 - static_cast<int>(readers.size()));
+}
+
+//! The store turns the readers of one data centre away: changes still reach it through the readers of the others.
+Test(storereplication, changes_reach_a_data_centre_whose_readers_are_turned_away)
+{
+    ReplicatedFleet fleet(30);
+    for (const InstanceId &reader : fleet.selectedReaders()) {
+        if (fleet.nodes.at(reader)->role().isLocalReader(fleet.selectedReaders().front())) {
+            fleet.withoutStore.insert(reader);
+        }
+    }
+    cr_assert_eq(fleet.withoutStore.size(), storeReadersPerDataCentre);
+    fleet.write("i/changed", "2");
+    fleet.time.runFor(200ms);
+    cr_assert_eq(fleet.holders("i/changed", "2"), 30);
+}
+
+Test(storereplication, a_node_that_missed_a_change_asks_one_peer_for_it)
+{
+    ReplicatedFleet fleet(30);
+    InstanceId follower;
+    for (const auto &[id, node] : fleet.nodes) {
+        follower = node->role().isSelected() ? follower : id;
+    }
+    fleet.stopped.insert(follower);
+    fleet.write("i/missed", "2");
+    fleet.time.runFor(200ms);
+    fleet.stopped.erase(follower);
+    fleet.time.runFor(600ms);
+    cr_assert_eq(fleet.holders("i/missed", "2"), 30);
+    cr_assert_eq(fleet.nodes.at(follower)->counters().requestsSent, 1);
+}
