Report access to the store with the status of the connection

The reports of a reader carried a status without the acknowledgement of the receiver's drain, so that an acknowledged drain would have counted as unacknowledged again. The status is now made for the connection that it is sent on, like every other.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -316,14 +316,19 @@
     }
 }
 
-bool LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
+std::map<ConnectionId, LinkController::Connection>::iterator LinkController::findConnection(const InstanceId &instance)
 {
-    if (send(instance, message)) {
-        return true;
+    if (const auto peer = m_peers.find(instance); peer != m_peers.end() && peer->second.activeConnection) {
+        return m_connections.find(*peer->second.activeConnection);
     }
-    const auto connection = std::find_if(m_connections.begin(), m_connections.end(), [&instance](const auto &entry) {
+    return std::find_if(m_connections.begin(), m_connections.end(), [&instance](const auto &entry) {
         return entry.second.helloReceived && entry.second.instance == instance;
     });
+}
+
+bool LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
+{
+    const auto connection = findConnection(instance);
     if (connection == m_connections.end()) {
         return false;
     }
@@ -331,6 +336,13 @@
     return true;
 }
 
+void LinkController::sendStatus(const InstanceId &instance)
+{
+    if (const auto connection = findConnection(instance); connection != m_connections.end()) {
+        sendOn(connection->first, connection->second, statusFor(connection->second));
+    }
+}
+
 void LinkController::sendStatusToInstances()
 {
     std::map<InstanceId, ConnectionId> chosen;
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -86,6 +86,8 @@
     bool sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message);
     //! Sends the status of this node on all connections immediately, so that each of them acknowledges a drain.
     void broadcastStatus();
+    //! Sends the status of this node to an instance, like sendOnAnyConnection().
+    void sendStatus(const InstanceId &instance);
     //! Sends the status of this node once to each linked or connected instance.
     void sendStatusToInstances();
     //! Changes the number of unanswered calls received over a connection. While it is not zero, heartbeats are sent at the
@@ -150,6 +152,8 @@
     void resetTimersAfterPause(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void sendOn(ConnectionId id, Connection &connection, const PeerMessage &message);
+    //! Returns the connection of the link to an instance, otherwise one that it has opened, otherwise the end.
+    std::map<ConnectionId, Connection>::iterator findConnection(const InstanceId &instance);
     void closeConnection(ConnectionId id);
     void removeUndesiredPeers();
     Peer *findDialingPeer(ConnectionId id);
--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -73,10 +73,9 @@
         return;
     }
     m_reportedAt = now;
-    const StatusMessage status = m_hooks.status();
     for (const InstanceId &follower : m_role.followers()) {
         ++m_counters.reportsSent;
-        m_hooks.send(follower, status);
+        m_hooks.sendStatus(follower);
     }
 }
 
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -34,8 +34,8 @@
         //! Sends a message to an instance over any open link.
         std::function<void(const InstanceId &, const PeerMessage &)> send;
         std::function<void(ConnectionId, const PeerMessage &)> reply;
-        //! The status message of this node, which reports its access to the store.
-        std::function<StatusMessage()> status;
+        //! Sends the status of this node to an instance. It reports this node's access to the store.
+        std::function<void(const InstanceId &)> sendStatus;
         std::function<void()> configurationChanged;
         std::function<void()> instancesChanged;
         //! Called when this node's own access to the store is gained or lost. `what` names the items.
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -139,7 +139,7 @@
     hooks.reader = m_protocol.storeReader(m_storeClient);
     hooks.send = [this](const InstanceId &instance, const PeerMessage &message) { m_links->sendOnAnyConnection(instance, message); };
     hooks.reply = [this](ConnectionId connection, const PeerMessage &message) { m_links->reply(connection, message); };
-    hooks.status = [this] { return status(); };
+    hooks.sendStatus = [this](const InstanceId &instance) { m_links->sendStatus(instance); };
     hooks.configurationChanged = [this] { configurationChanged(); };
     hooks.instancesChanged = [this] { instancesChanged(); };
     hooks.availabilityChanged = [this](const char *what, bool isAvailable) {
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -102,7 +102,7 @@
         hooks.reply = [this, id](ConnectionId to, const PeerMessage &message) {
             deliver(id, m_list.instances[to.value()].instance, message);
         };
-        hooks.status = [this, id] { return statusOf(id); };
+        hooks.sendStatus = [this, id](const InstanceId &to) { deliver(id, to, statusOf(id)); };
         hooks.configurationChanged = [] {};
         hooks.instancesChanged = [] {};
         hooks.availabilityChanged = [](const char * /*what*/, bool /*isAvailable*/) {};
