--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -5,7 +5,10 @@
 #include <chervilpaddle/controllers/readerrole.h>
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace chervilpaddle {
 
