Apply changes of the store and of peers by one function, and drop what nothing reads

PrefixMirror had the same loop for changes of the store and of peers (applyEvents now); the limits of HTTP heads and read-ahead stood in client and server (httpmessage.h now); StoreReplication kept options that only its constructor reads, and asked twice a tick since when the store is available. The comment on AdmissionQueue::next said 'each start', but calls that are dropped count too.

--- a/src/chervilpaddle/controllers/admissionqueue.cpp
+++ b/src/chervilpaddle/controllers/admissionqueue.cpp
@@ -8,7 +8,7 @@
 
 //! A call at the root of a call tree is overdue once it has waited for its time until the deadline over this divisor.
 constexpr int overdueDivisor = 16;
-//! Starts in order between two starts of overdue calls: three quarters of the slots stay with the calls that cost most so far.
+//! Calls taken in order between two overdue ones: three quarters of the slots stay with the calls that cost most so far.
 constexpr int minStartsInOrder = 3;
 
 } // namespace
--- a/src/chervilpaddle/controllers/admissionqueue.h
+++ b/src/chervilpaddle/controllers/admissionqueue.h
@@ -35,7 +35,8 @@
     //! The first call in order, or null.
     const QueuedCall *first() const;
     //! The call to run next, or null: the first one or, once in several starts, an overdue one of the same priority.
-    //! Precondition: called once for each start.
+    //! Precondition: called once for
+    //! each call that is then removed, to be started or dropped.
     const QueuedCall *next(TimePoint now);
     //! The call to shed first, or null.
     const QueuedCall *last() const;
--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -217,14 +217,7 @@
         return;
     }
     markAvailable();
-    std::vector<StoreEvent> applied;
-    for (const StoreEvent &event : changes.events) {
-        if (applyEvent(event)) {
-            applied.push_back(event);
-        }
-    }
-    const bool isChanged = !applied.empty();
-    remember(std::move(applied));
+    const bool isChanged = applyEvents(changes.events);
     m_syncedRevision = std::max(m_syncedRevision, changes.storeRevision);
     if (!isChanged) {
         watch();
@@ -234,6 +227,20 @@
     m_hooks.schedule(rewatchDelay, [this] { watch(); });
 }
 
+//! Applies the changes that the items do not contain yet, and keeps these for peers. Returns false if there are none.
+bool PrefixMirror::applyEvents(const std::vector<StoreEvent> &events)
+{
+    std::vector<StoreEvent> applied;
+    for (const StoreEvent &event : events) {
+        if (applyEvent(event)) {
+            applied.push_back(event);
+        }
+    }
+    const bool isChanged = !applied.empty();
+    remember(std::move(applied));
+    return isChanged;
+}
+
 //! Returns false if the items already contain the change.
 bool PrefixMirror::applyEvent(const StoreEvent &event)
 {
@@ -351,13 +358,7 @@
     if (!m_hasContent || m_syncedRevision < *document.since) {
         return MirrorUpdate::Gap;
     }
-    std::vector<StoreEvent> applied;
-    for (const StoreEvent &event : document.events) {
-        if (applyEvent(event)) {
-            applied.push_back(event);
-        }
-    }
-    remember(std::move(applied));
+    applyEvents(document.events);
     m_syncedRevision = std::max(m_syncedRevision, document.synced);
     m_hooks.changed();
     return MirrorUpdate::Applied;
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -72,6 +72,7 @@
     void handleFailure(std::function<void()> retry);
     void markAvailable();
     void updateLastChange(Revision revision);
+    bool applyEvents(const std::vector<StoreEvent> &events);
     bool applyEvent(const StoreEvent &event);
     void replaceItems(std::map<std::string, StoreItem> items, Revision synced);
     void remember(std::vector<StoreEvent> events);
--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -16,8 +16,7 @@
 } // namespace
 
 StoreReplication::StoreReplication(const Options &options, Hooks hooks)
-    : m_options(options)
-    , m_hooks(std::move(hooks))
+    : m_hooks(std::move(hooks))
     , m_random(options.seed)
     , m_role(options.localNode, m_random())
 {
@@ -59,9 +58,10 @@
 {
     const TimePoint now = m_hooks.clock();
     const bool mustRead = m_role.mustRead(now);
+    const auto availableSince = m_role.availableSince(now);
     for (const Replica *replica : {&m_configuration, &m_instances}) {
         replica->mirror->setReading(mustRead);
-        replica->mirror->setAvailableSince(m_role.availableSince(now));
+        replica->mirror->setAvailableSince(availableSince);
     }
 }
 
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -96,7 +96,6 @@
     void request(Replica &replica, ConnectionId connection);
     void serve(const Replica &replica, ConnectionId connection, Revision held);
 
-    Options m_options;
     Hooks m_hooks;
     RandomSource m_random;
     ReaderRole m_role;
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -21,9 +21,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr std::uint32_t maxHeaderBytes = 16 * kibibyte;
-//! Bounds what is read ahead of the parser. Body bytes leave the buffer at once, whereas a line without an end stays in it.
-constexpr std::size_t maxBufferBytes = 128 * kibibyte;
 constexpr std::size_t maxIdleConnections = 128;
 //! Subtracted from the idle timeout that a server announces: a request sent just before it would cross the server's close.
 constexpr Duration idleMargin = std::chrono::seconds(1);
@@ -237,7 +234,7 @@
 
     beast::tcp_stream m_stream;
     HttpClient::Options m_options;
-    beast::flat_buffer m_buffer{maxBufferBytes};
+    beast::flat_buffer m_buffer{maxReadAheadBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::chrono::steady_clock::time_point m_deadline;
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <chervilpaddle/base/units.h>
+
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -7,6 +10,11 @@
 
 namespace chervilpaddle {
 
+//! Maximum size of the head of a request or response.
+constexpr std::uint32_t maxHeaderBytes = 16 * kibibyte;
+//! Bounds what is read ahead of the parser. Body bytes leave the buffer at once, whereas a line without an end stays in it.
+constexpr std::size_t maxReadAheadBytes = 128 * kibibyte;
+
 //! Header fields in insertion order; names are compared case-insensitively.
 class HttpHeaders
 {
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -22,9 +22,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-//! Bounds what is read ahead of the parser. Body bytes leave the buffer at once, whereas a line without an end stays in it.
-constexpr std::size_t maxBufferBytes = 128 * kibibyte;
-constexpr std::uint32_t maxHeaderBytes = 16 * kibibyte;
 constexpr auto receiveTimeout = std::chrono::seconds(10);
 constexpr auto idleTimeout = std::chrono::seconds(75);
 constexpr auto writeTimeout = std::chrono::seconds(30);
@@ -264,7 +261,7 @@
     asio::steady_timer m_idleTimer{m_stream.get_executor()};
     std::shared_ptr<ServerState> m_state;
     BodyReservation m_reservation;
-    beast::flat_buffer m_buffer{maxBufferBytes};
+    beast::flat_buffer m_buffer{maxReadAheadBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
     std::function<void()> m_disconnectHandler;
