--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -23,11 +23,8 @@
 
 std::uint64_t contentDigest(const CallMessage &call)
 {
-    std::string content = call.context.customer.value() + '\n' + call.context.operation.value() + '\n';
-    if (call.payload.body) {
-        content += *call.payload.body;
-    }
-    return stableHash(content);
+    const std::uint64_t bodyDigest = call.payload.body ? stableHash(*call.payload.body) : 0;
+    return stableHash(call.context.customer.value() + '\n' + call.context.operation.value() + '\n' + std::to_string(bodyDigest));
 }
 
 } // namespace
@@ -44,17 +41,18 @@
 {
 }
 
-void Executor::submit(const CallMessage &call, Duration receiveDelay, Reply reply)
+void Executor::submit(CallMessage call, Duration receiveDelay, Reply reply)
 {
     ++m_counters.arrivals;
     if (call.ticket.executorIncarnation != m_options.incarnation) {
         reply(responseFor(call, ResultCode::ExecutorReplaced, 0));
         return;
     }
-    const TicketId &ticket = call.ticket.id;
+    const TicketId ticket = call.ticket.id;
+    const TimePoint deadline = m_hooks.clock() + call.remaining - receiveDelay;
     switch (m_tickets.admit(ticket, contentDigest(call))) {
     case TicketRegistry::Verdict::Fresh:
-        enqueue(call, m_hooks.clock() + call.remaining - receiveDelay, std::move(reply));
+        enqueue(std::move(call), deadline, std::move(reply));
         return;
     case TicketRegistry::Verdict::InFlight:
         joinDuplicate(ticket, std::move(reply));
@@ -87,7 +85,7 @@
     return m_hooks.startRefusal ? m_hooks.startRefusal(call) : std::nullopt;
 }
 
-void Executor::enqueue(const CallMessage &call, TimePoint deadline, Reply reply)
+void Executor::enqueue(CallMessage call, TimePoint deadline, Reply reply)
 {
     if (m_draining) {
         ++m_counters.refusedDraining;
@@ -108,8 +106,8 @@
     m_priceController.recordArrival(call.context.rank);
     m_arrivedSlotSeconds[static_cast<int>(call.context.rank)] += expectedSlotSeconds(call.context.operation);
     m_meanSlackSeconds += slackSmoothing * (toSeconds(deadline - now) - m_meanSlackSeconds);
-    PendingCall &pending = m_pendingCalls[call.ticket.id];
-    pending.call = call;
+    PendingCall &pending = m_pendingCalls[queued.ticket];
+    pending.call = std::move(call);
     pending.replies.push_back(std::move(reply));
     m_queue.push(queued);
     dispatch();
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -86,7 +86,7 @@
 
     //! Accepts, joins or refuses a call. `receiveDelay` is the time for which the frame waited to be read; it counts
     //! against the deadline.
-    void submit(const CallMessage &call, Duration receiveDelay, Reply reply);
+    void submit(CallMessage call, Duration receiveDelay, Reply reply);
     //! Records the end of a run and responds to its callers. Unknown runs are ignored.
     void completeRun(RunId run, const BackendResult &result);
     //! Handles a caller's cancellation: drops a queued call, and cancels a running one if it is idempotent.
@@ -153,7 +153,7 @@
         TimePoint updated;
     };
 
-    void enqueue(const CallMessage &call, TimePoint deadline, Reply reply);
+    void enqueue(CallMessage call, TimePoint deadline, Reply reply);
     void joinDuplicate(const TicketId &ticket, Reply reply);
     void refuse(const CallMessage &call, ResultCode code, const Reply &reply);
     std::optional<ResultCode> startRefusal(const CallMessage &call) const;
--- a/src/chervilpaddle/controllers/instancepicker.cpp
+++ b/src/chervilpaddle/controllers/instancepicker.cpp
@@ -51,7 +51,8 @@
 
 InstancePicker::Selection InstancePicker::pick(const std::vector<Candidate> &candidates, const Criteria &criteria, TimePoint now)
 {
-    const std::vector<InstanceId> ejectedInstances = m_outlierDetector.ejectedInstances(idsOf(candidates), now);
+    const std::vector<InstanceId> ejectedInstances =
+        m_outlierDetector.hasFailures() ? m_outlierDetector.ejectedInstances(idsOf(candidates), now) : std::vector<InstanceId>();
     std::vector<const Candidate *> localPool;
     std::vector<const Candidate *> remotePool;
     for (const Candidate &candidate : candidates) {
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -70,7 +70,7 @@
     }
 }
 
-void LinkController::received(ConnectionId id, const PeerFrame &frame)
+void LinkController::received(ConnectionId id, PeerFrame frame)
 {
     const auto found = m_connections.find(id);
     if (found == m_connections.end()) {
@@ -91,7 +91,7 @@
     if (const auto *status = std::get_if<StatusMessage>(&frame.message); status != nullptr) {
         handleStatus(id, connection, *status);
     }
-    m_hooks.received({id, connection.instance, frame.message, queueingDelay});
+    m_hooks.received({id, connection.instance, std::move(frame.message), queueingDelay});
 }
 
 void LinkController::handleHello(ConnectionId id, Connection &connection, const HelloMessage &hello)
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -61,7 +61,7 @@
         std::function<void(const InstanceId &, Incarnation)> incarnationChanged;
         std::function<void(const InstanceId &)> linkEstablished;
         //! Called for every message except hello.
-        std::function<void(const PeerEvent &)> received;
+        std::function<void(PeerEvent)> received;
     };
 
     LinkController(Candidate ownCandidate, ServiceName ownService, Hooks hooks, std::uint64_t seed);
@@ -72,7 +72,7 @@
     void setSeeds(const std::vector<Endpoint> &seeds);
 
     void opened(ConnectionId connection, bool inbound);
-    void received(ConnectionId connection, const PeerFrame &frame);
+    void received(ConnectionId connection, PeerFrame frame);
     void closed(ConnectionId connection);
     //! Dials peers, checks timeouts and sends heartbeats. To be called every few tens of milliseconds.
     void tick();
--- a/src/chervilpaddle/controllers/outlierdetector.cpp
+++ b/src/chervilpaddle/controllers/outlierdetector.cpp
@@ -27,6 +27,11 @@
     ++health.ejections;
 }
 
+bool OutlierDetector::hasFailures() const
+{
+    return !m_health.empty();
+}
+
 bool OutlierDetector::isEjected(const InstanceId &instance, TimePoint now) const
 {
     const auto health = m_health.find(instance);
--- a/src/chervilpaddle/controllers/outlierdetector.h
+++ b/src/chervilpaddle/controllers/outlierdetector.h
@@ -15,6 +15,8 @@
 public:
     void recordSuccess(const InstanceId &instance);
     void recordFailure(const InstanceId &instance, TimePoint now);
+    //! Returns whether any instance has failed since its last success; if not, none is ejected.
+    bool hasFailures() const;
     bool isEjected(const InstanceId &instance, TimePoint now) const;
     void forget(const InstanceId &instance);
 
--- a/src/chervilpaddle/mesh/meshbackend.cpp
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -40,10 +40,9 @@
 {
     const Duration remaining = std::max(Duration::zero(), std::chrono::duration_cast<Duration>(run.deadline - m_clock()));
     HttpRequest request = m_protocol.backendRequest(run.call, remaining);
-    m_requests[run.id] = m_client.send(std::move(request), remaining + responseGracePeriod, [this, id = run.id](const HttpResult &result) {
+    m_requests[run.id] = m_client.send(std::move(request), remaining + responseGracePeriod, [this, id = run.id](HttpResult result) {
         m_requests.erase(id);
-        HttpResult response = result;
-        m_finished(id, m_protocol.backendResult(response));
+        m_finished(id, m_protocol.backendResult(result));
     });
 }
 
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -102,7 +102,7 @@
     // Marked as draining until the instance list names this node's backend server, so that no calls are sent to it.
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true, {}};
     PeerMessageHooks messageHooks{
-        [this] { return hello(); }, [this] { return status(); }, [this](const PeerEvent &event) { handlePeerMessage(event); }};
+        [this] { return hello(); }, [this] { return status(); }, [this](PeerEvent event) { handlePeerMessage(std::move(event)); }};
     m_links = std::make_unique<LinkController>(
         self, m_settings.service, makeLinkHooks(m_clock, *m_transport, *m_router, m_log, std::move(messageHooks)), m_random());
     m_replication =
@@ -392,12 +392,12 @@
     }
 }
 
-void MeshCore::handlePeerMessage(const PeerEvent &event)
+void MeshCore::handlePeerMessage(PeerEvent event)
 {
-    if (const auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
+    if (auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
         const ConnectionId connection = event.connection;
         m_links->adjustUnansweredCalls(connection, 1);
-        submit(*call, event.queueingDelay, [this, connection](const ResponseMessage &response) {
+        submit(std::move(*call), event.queueingDelay, [this, connection](const ResponseMessage &response) {
             m_links->adjustUnansweredCalls(connection, -1);
             m_links->reply(connection, response);
         });
@@ -424,9 +424,9 @@
     return isRefused ? std::optional<ResultCode>(ResultCode::Leaving) : std::nullopt;
 }
 
-void MeshCore::submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply)
+void MeshCore::submit(CallMessage call, Duration queueingDelay, Executor::Reply reply)
 {
-    m_executor->submit(call, queueingDelay, std::move(reply));
+    m_executor->submit(std::move(call), queueingDelay, std::move(reply));
     if (m_executor->incarnation() != m_incarnation) {
         m_incarnation = m_executor->incarnation();
         updateOwnCandidate();
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -111,9 +111,9 @@
 
     bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
     void submitLocally(const PeerMessage &message);
-    void handlePeerMessage(const PeerEvent &event);
+    void handlePeerMessage(PeerEvent event);
     std::optional<ResultCode> startRefusal(const CallMessage &call) const;
-    void submit(const CallMessage &call, Duration queueingDelay, Executor::Reply reply);
+    void submit(CallMessage call, Duration queueingDelay, Executor::Reply reply);
 
     void configurationChanged();
     void instancesChanged();
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -52,7 +52,7 @@
         std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true};
     PeerMessageHooks messageHooks{
-        [this] { return hello(); }, [this] { return status(); }, [this](const PeerEvent &event) { handlePeerMessage(event); }};
+        [this] { return hello(); }, [this] { return status(); }, [this](PeerEvent event) { handlePeerMessage(std::move(event)); }};
     m_links = std::make_unique<LinkController>(
         self, m_settings.service, makeLinkHooks(m_clock, *m_transport, *m_router, m_log, std::move(messageHooks)), m_random());
     m_links->setSeeds(m_settings.seeds);
@@ -263,10 +263,10 @@
     }
 }
 
-void NodeCore::handlePeerMessage(const PeerEvent &event)
+void NodeCore::handlePeerMessage(PeerEvent event)
 {
-    if (const auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
-        submitFromPeer(event, *call);
+    if (auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
+        submitFromPeer(event, std::move(*call));
     } else if (const auto *response = std::get_if<ResponseMessage>(&event.message); response != nullptr) {
         m_router->handleResponse(event.instance, *response);
     } else if (const auto *cancel = std::get_if<CancelMessage>(&event.message); cancel != nullptr) {
@@ -278,11 +278,11 @@
     }
 }
 
-void NodeCore::submitFromPeer(const PeerEvent &event, const CallMessage &call)
+void NodeCore::submitFromPeer(const PeerEvent &event, CallMessage call)
 {
     const ConnectionId connection = event.connection;
     m_links->adjustUnansweredCalls(connection, 1);
-    m_executor->submit(call, event.queueingDelay, [this, connection](const ResponseMessage &response) {
+    m_executor->submit(std::move(call), event.queueingDelay, [this, connection](const ResponseMessage &response) {
         m_links->adjustUnansweredCalls(connection, -1);
         m_links->reply(connection, response);
     });
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -97,8 +97,8 @@
 
     bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
     void submitLocally(const PeerMessage &message);
-    void handlePeerMessage(const PeerEvent &event);
-    void submitFromPeer(const PeerEvent &event, const CallMessage &call);
+    void handlePeerMessage(PeerEvent event);
+    void submitFromPeer(const PeerEvent &event, CallMessage call);
     void runFinished(RunId run, const BackendResult &result);
     void cancelRun(RunId run);
     void membershipChanged();
--- a/src/chervilpaddle/node/peerwiring.cpp
+++ b/src/chervilpaddle/node/peerwiring.cpp
@@ -35,7 +35,7 @@
     PeerTransport::Hooks hooks;
     hooks.clock = std::move(clock);
     hooks.opened = [&links](ConnectionId connection, bool inbound) { links->opened(connection, inbound); };
-    hooks.received = [&links](ConnectionId connection, const PeerFrame &frame) { links->received(connection, frame); };
+    hooks.received = [&links](ConnectionId connection, PeerFrame frame) { links->received(connection, std::move(frame)); };
     hooks.closed = [&links](ConnectionId connection) { links->closed(connection); };
     hooks.frameRejected = [&log](ConnectionId /*connection*/, std::error_code error) {
         log.warn({"invalid frame from peer; closing the connection", static_cast<ResultCode>(error.value()), {}, error.message()});
--- a/src/chervilpaddle/node/peerwiring.h
+++ b/src/chervilpaddle/node/peerwiring.h
@@ -15,7 +15,7 @@
 {
     std::function<HelloMessage()> hello;
     std::function<StatusMessage()> status;
-    std::function<void(const PeerEvent &)> received;
+    std::function<void(PeerEvent)> received;
 };
 
 //! Connects the link controller to the transport and the router, and logs changes of the links. All arguments
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -47,7 +47,7 @@
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    using CompletionHandler = std::function<void(const std::shared_ptr<Connection> &, const HttpResult &)>;
+    using CompletionHandler = std::function<void(const std::shared_ptr<Connection> &, HttpResult)>;
 
     Connection(asio::io_context &context, const HttpClient::Options &options)
         : m_stream(context)
@@ -157,16 +157,15 @@
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
         } else if (isCloseDelimited() && !m_options.acceptsCloseDelimitedBodies) {
             result.stage = HttpStage::Truncated;
-        } else if (isInterim() || isForOtherRequest()) {
-            if (maySkipResponse()) {
-                resetParser();
-                read();
-                return;
-            }
-            result.stage = HttpStage::Truncated;
-        } else {
+        } else if (HttpResponse response = takeResponse(); !isInterim() && isForThisRequest(response)) {
             result.stage = HttpStage::Complete;
-            result.response = takeResponse();
+            result.response = std::move(response);
+        } else if (maySkipResponse()) {
+            resetParser();
+            read();
+            return;
+        } else {
+            result.stage = HttpStage::Truncated;
         }
         m_reusable = result.stage == HttpStage::Complete && !m_writing && m_parser->get().keep_alive();
         if (m_reusable) {
@@ -174,7 +173,7 @@
             m_maxIdleTime = std::min(m_options.maxIdleTime, announced ? *announced - idleMargin : m_options.maxIdleTime);
             m_idleSince = std::chrono::steady_clock::now();
         }
-        complete(result);
+        complete(std::move(result));
     }
 
     //! Returns whether the response announces that the final one follows.
@@ -183,17 +182,9 @@
         return http::to_status_class(m_parser->get().result()) == http::status_class::informational;
     }
 
-    //! Returns whether the response belongs to another request.
-    bool isForOtherRequest()
+    bool isForThisRequest(const HttpResponse &response) const
     {
-        if (!m_options.isMatchingResponse) {
-            return false;
-        }
-        HttpHeaders fields;
-        for (const auto &field : m_parser->get()) {
-            fields.add(std::string(field.name_string()), std::string(field.value()));
-        }
-        return !m_options.isMatchingResponse(m_sentRequest, fields);
+        return !m_options.isMatchingResponse || m_options.isMatchingResponse(m_sentRequest, response.headers);
     }
 
     bool maySkipResponse()
@@ -221,7 +212,7 @@
         return response;
     }
 
-    void complete(const HttpResult &result)
+    void complete(HttpResult result)
     {
         if (!m_reusable) {
             m_stream.close();
@@ -229,7 +220,7 @@
             m_stream.expires_never();
         }
         const auto completionHandler = std::exchange(m_completionHandler, nullptr);
-        completionHandler(m_reusable ? shared_from_this() : nullptr, result);
+        completionHandler(m_reusable ? shared_from_this() : nullptr, std::move(result));
     }
 
     beast::tcp_stream m_stream;
@@ -264,12 +255,12 @@
     {
         const HttpRequestNumber number(++m_lastNumber);
         auto completionHandler = [self = shared_from_this(), number, callback = std::move(callback)](
-                                     const std::shared_ptr<Connection> &reusable, const HttpResult &result) {
+                                     const std::shared_ptr<Connection> &reusable, HttpResult result) {
             self->m_active.erase(number);
             if (reusable && self->m_idle.size() < maxIdleConnections) {
                 self->m_idle.push_back(reusable);
             }
-            callback(result);
+            callback(std::move(result));
         };
         if (auto connection = takeIdleConnection(); connection) {
             m_active[number] = connection;
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -53,7 +53,7 @@
         //! Returns whether a response belongs to the request; responses that do not are skipped. If not set, all are accepted.
         std::function<bool(const HttpRequest &, const HttpHeaders &)> isMatchingResponse = nullptr;
     };
-    using Callback = std::function<void(const HttpResult &)>;
+    using Callback = std::function<void(HttpResult)>;
 
     HttpClient(boost::asio::io_context &context, Options options);
     ~HttpClient();
--- a/src/chervilpaddle/transport/httpmessage.cpp
+++ b/src/chervilpaddle/transport/httpmessage.cpp
@@ -1,7 +1,7 @@
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace chervilpaddle {
@@ -11,14 +11,15 @@
     m_fields.emplace_back(std::move(name), std::move(value));
 }
 
-const std::string *HttpHeaders::find(const std::string &name) const
+const std::string *HttpHeaders::find(std::string_view name) const
 {
-    const auto field =
-        std::find_if(m_fields.begin(), m_fields.end(), [&](const auto &f) { return boost::algorithm::iequals(f.first, name); });
+    const auto field = std::find_if(m_fields.begin(), m_fields.end(), [&](const auto &f) {
+        return boost::beast::iequals(f.first, {name.data(), name.size()});
+    });
     return field == m_fields.end() ? nullptr : &field->second;
 }
 
-std::string HttpHeaders::valueOr(const std::string &name, const std::string &fallback) const
+std::string HttpHeaders::valueOr(std::string_view name, const std::string &fallback) const
 {
     const std::string *value = find(name);
     return value != nullptr ? *value : fallback;
--- a/src/chervilpaddle/transport/httpmessage.h
+++ b/src/chervilpaddle/transport/httpmessage.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,9 +23,9 @@
     //! Appends a field; existing fields of the same name are kept.
     void add(std::string name, std::string value);
     //! Returns the value of the first field with this name, or nullptr.
-    const std::string *find(const std::string &name) const;
+    const std::string *find(std::string_view name) const;
     //! Returns the value of the first field with this name, or the fallback if there is none.
-    std::string valueOr(const std::string &name, const std::string &fallback) const;
+    std::string valueOr(std::string_view name, const std::string &fallback) const;
     const std::vector<std::pair<std::string, std::string>> &fields() const;
     //! Moves the fields out.
     std::vector<std::pair<std::string, std::string>> takeFields();
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -195,7 +195,7 @@
             close(id);
             return;
         }
-        m_hooks.received(id, frame);
+        m_hooks.received(id, std::move(frame));
     }
 
     void closeNow(ConnectionId id)
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -18,7 +18,7 @@
     {
         Clock clock;
         std::function<void(ConnectionId, bool inbound)> opened;
-        std::function<void(ConnectionId, const PeerFrame &)> received;
+        std::function<void(ConnectionId, PeerFrame)> received;
         //! Called exactly once for every outbound or accepted connection, and never from within a call to this class.
         std::function<void(ConnectionId)> closed;
         //! A frame could not be decoded; its connection is being closed.
