--- /dev/null
+++ b/tests/transport/httpserver.cpp
@@ -0,0 +1,132 @@
+#include <chervilpaddle/transport/httpserver.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace chervilpaddle;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::size_t floodLimit = 16U * 1024 * 1024;
+
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    return tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
+}
+
+//! A server on a thread of its own that responds to each request with its number.
+class CountingServer
+{
+public:
+    CountingServer()
+        : m_address{"127.0.0.1", freePort()}
+        , m_server({&m_context}, options(), [this](const std::shared_ptr<HttpExchange> &exchange) {
+            ++m_handled;
+            exchange->respond(textResponse(200, "text/plain", "ok"));
+        })
+    {
+        cr_assert_not(m_server.listen());
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~CountingServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    CountingServer(const CountingServer &) = delete;
+    CountingServer &operator=(const CountingServer &) = delete;
+
+    tcp::socket connect(asio::io_context &context) const
+    {
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(m_address.host), m_address.port});
+        return socket;
+    }
+
+    int handled() const
+    {
+        return m_handled;
+    }
+
+private:
+    HttpServer::Options options() const
+    {
+        HttpServer::Options options;
+        options.address = m_address;
+        options.maxBodyBytes = 64 * kibibyte;
+        return options;
+    }
+
+    Endpoint m_address;
+    asio::io_context m_context;
+    std::atomic<int> m_handled{0};
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+//! Sends a pattern until the server closes the connection; returns how many bytes it took, at most the limit.
+std::size_t flood(tcp::socket &socket, const std::string &start, const std::string &pattern)
+{
+    std::string block;
+    while (block.size() < 65536) {
+        block += pattern;
+    }
+    boost::system::error_code error;
+    std::size_t sent = asio::write(socket, asio::buffer(start), error);
+    while (!error && sent < floodLimit) {
+        sent += asio::write(socket, asio::buffer(block), error);
+    }
+    return sent;
+}
+
+std::string statusLineOf(tcp::socket &socket, const std::string &request)
+{
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(request), error);
+    std::string response(256, '\0');
+    response.resize(socket.read_some(asio::buffer(response), error));
+    return response.substr(0, response.find('\r'));
+}
+
+} // namespace
+
+Test(httpserver, bytes_without_end_are_cut_off)
+{
+    struct Case
+    {
+        const char *description;
+        std::string start;
+        std::string endless;
+    };
+    const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const Case cases[] = {
+        {"request line", "GET /", "xyz"},
+        {"no HTTP at all", "", "\x01\x02"},
+        {"empty lines", "", "\r\n"},
+        {"header line", "GET / HTTP/1.1\r\nName: ", "xyz"},
+        {"header block", "GET / HTTP/1.1\r\n", "Name: value\r\n"},
+        {"chunks", chunked, "3\r\nxyz\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "3;", "name=value;"},
+        {"trailer line", chunked + "0\r\nName: ", "xyz"},
+        {"trailer block", chunked + "0\r\n", "Name: value\r\n"},
+    };
+    CountingServer server;
+    asio::io_context context;
+    for (const Case &testCase : cases) {
+        tcp::socket socket = server.connect(context);
+        const std::size_t sent = flood(socket, testCase.start, testCase.endless);
+        // Most of this lies in the buffers of the two sockets.
+        cr_expect_lt(sent, floodLimit, "%s: %zu bytes were taken", testCase.description, sent);
+        cr_expect_eq(server.handled(), 0, "%s was taken for a request", testCase.description);
+    }
+    tcp::socket socket = server.connect(context);
+    cr_assert_str_eq(statusLineOf(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n").c_str(), "HTTP/1.1 200 OK");
+}
