Treat heartbeats of instance entries as no change

Cause: every backend server writes its entry again each 1.5 s with a higher sequence. Each such write was a change: readers sent it to all nodes of their data centre and to the other readers, every node decoded it, built its list anew and logged that, and it ended every watch at once. Ruled out: the clearing rank (its messages are counted apart); requests of nodes that are behind (one after a missed change). Change: the platform adapter tells whether an entry that was written again only counts on; mirrors keep such an item, but neither report nor pass it on, and readers wait 400 ms instead of 150 ms before the next watch if they found nothing else. A count that starts anew is a change: the backend server may have started again. A node watches only once it knows whether it is a reader. The test's store now answers a watch only for items under its prefix, as the real one does.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -17,30 +17,12 @@
 constexpr Duration maxWatchDuration = std::chrono::seconds(6);
 //! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them.
 constexpr Duration rewatchDelay = std::chrono::milliseconds(150);
+//! Pause after a watch that has returned heartbeats only. They end every watch at once, so that this is the time between reads.
+constexpr Duration heartbeatRewatchDelay = std::chrono::milliseconds(400);
 
 //! Number of changes that are kept for peers that are behind. Bounds the memory; a peer that is further behind gets all items.
 constexpr std::size_t maxRecentEvents = 1024;
 
-//! The changes that lead from one state of the items to another, oldest first. The revision of a removal is not known.
-std::vector<StoreEvent>
-differences(const std::map<std::string, StoreItem> &from, const std::map<std::string, StoreItem> &to, Revision removalRevision)
-{
-    std::vector<StoreEvent> events;
-    for (const auto &[key, item] : from) {
-        if (to.count(key) == 0) {
-            events.push_back({{key, {}, removalRevision}, true});
-        }
-    }
-    for (const auto &[key, item] : to) {
-        const auto known = from.find(key);
-        if (known == from.end() || known->second.revision < item.revision) {
-            events.push_back({item, false});
-        }
-    }
-    std::sort(events.begin(), events.end(), [](const auto &a, const auto &b) { return a.item.revision < b.item.revision; });
-    return events;
-}
-
 //! Serialises changes as [key, value, revision], or [key, revision] for a removal.
 nlohmann::json encodeEvent(const StoreEvent &event)
 {
@@ -166,7 +148,7 @@
 //! Replaces all items. The changes that this amounts to are kept for peers that hold the previous items.
 void PrefixMirror::replaceItems(std::map<std::string, StoreItem> items, Revision synced)
 {
-    std::vector<StoreEvent> events = differences(m_items, items, synced);
+    std::vector<StoreEvent> events = differencesTo(items, synced);
     const bool isFirst = !m_hasContent;
     m_items = std::move(items);
     m_syncedRevision = synced;
@@ -184,6 +166,30 @@
     }
 }
 
+bool PrefixMirror::isHeartbeat(const StoreItem &previous, const StoreItem &next) const
+{
+    return m_hooks.isHeartbeat && m_hooks.isHeartbeat(previous, next);
+}
+
+//! The changes that lead from the items to others, oldest first. The revision of a removal is not known.
+std::vector<StoreEvent> PrefixMirror::differencesTo(const std::map<std::string, StoreItem> &items, Revision removalRevision) const
+{
+    std::vector<StoreEvent> events;
+    for (const auto &[key, item] : m_items) {
+        if (items.count(key) == 0) {
+            events.push_back({{key, {}, removalRevision}, true});
+        }
+    }
+    for (const auto &[key, item] : items) {
+        const auto known = m_items.find(key);
+        if (known == m_items.end() || (known->second.revision < item.revision && !isHeartbeat(known->second, item))) {
+            events.push_back({item, false});
+        }
+    }
+    std::sort(events.begin(), events.end(), [](const auto &a, const auto &b) { return a.item.revision < b.item.revision; });
+    return events;
+}
+
 void PrefixMirror::remember(std::vector<StoreEvent> events)
 {
     for (StoreEvent &event : events) {
@@ -219,12 +225,14 @@
     markAvailable();
     const bool isChanged = applyEvents(changes.events);
     m_syncedRevision = std::max(m_syncedRevision, changes.storeRevision);
-    if (!isChanged) {
+    if (changes.events.empty()) {
         watch();
         return;
     }
-    m_hooks.changed();
-    m_hooks.schedule(rewatchDelay, [this] { watch(); });
+    if (isChanged) {
+        m_hooks.changed();
+    }
+    m_hooks.schedule(isChanged ? rewatchDelay : heartbeatRewatchDelay, [this] { watch(); });
 }
 
 //! Applies the changes that the items do not contain yet, and keeps these for peers. Returns false if there are none.
@@ -241,12 +249,19 @@
     return isChanged;
 }
 
-//! Returns false if the items already contain the change.
+//! Returns false if the items already contain the change, or if it is a heartbeat.
 bool PrefixMirror::applyEvent(const StoreEvent &event)
 {
     if (!(m_syncedRevision < event.item.revision)) {
         return false;
     }
+    const auto known = m_items.find(event.item.key);
+    if (known != m_items.end() && !event.isRemoved && isHeartbeat(known->second, event.item)) {
+        if (known->second.revision < event.item.revision) {
+            known->second = event.item;
+        }
+        return false;
+    }
     updateLastChange(event.item.revision);
     if (event.isRemoved) {
         m_items.erase(event.item.key);
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -29,6 +29,9 @@
         Clock clock;
         Scheduler schedule;
         StoreReader reader;
+        //! Whether an item that was written again says nothing new, such as that its writer is still alive. Heartbeats are
+        //! not changes: they are neither reported nor passed on. If not set, each write is a change.
+        std::function<bool(const StoreItem &previous, const StoreItem &next)> isHeartbeat = nullptr;
         //! Called when the items have changed or were read for the first time.
         std::function<void()> changed;
         //! Called when the store becomes available or unavailable.
@@ -72,6 +75,8 @@
     void handleFailure(std::function<void()> retry);
     void markAvailable();
     void updateLastChange(Revision revision);
+    bool isHeartbeat(const StoreItem &previous, const StoreItem &next) const;
+    std::vector<StoreEvent> differencesTo(const std::map<std::string, StoreItem> &items, Revision removalRevision) const;
     bool applyEvents(const std::vector<StoreEvent> &events);
     bool applyEvent(const StoreEvent &event);
     void replaceItems(std::map<std::string, StoreItem> items, Revision synced);
--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -20,21 +20,25 @@
     , m_random(options.seed)
     , m_role(options.localNode, m_random())
 {
+    PrefixMirror::Hooks configurationHooks;
+    configurationHooks.changed = m_hooks.configurationChanged;
+    PrefixMirror::Hooks instancesHooks;
+    instancesHooks.changed = m_hooks.instancesChanged;
+    instancesHooks.isHeartbeat = m_hooks.isHeartbeat;
     m_configuration.message = [](std::string document) { return ConfigurationMessage{std::move(document), {}}; };
     m_configuration.request = [](Revision held) { return ConfigurationRequest{held, {}}; };
-    makeReplica(m_configuration, options.configurationPrefix, "configuration", m_hooks.configurationChanged);
+    makeReplica(m_configuration, options.configurationPrefix, "configuration", configurationHooks);
     m_instances.message = [](std::string document) { return InstancesMessage{std::move(document)}; };
     m_instances.request = [](Revision held) { return InstancesRequest{held}; };
-    makeReplica(m_instances, options.instancesPrefix, "instances", m_hooks.instancesChanged);
+    makeReplica(m_instances, options.instancesPrefix, "instances", instancesHooks);
 }
 
-void StoreReplication::makeReplica(Replica &replica, const std::string &prefix, const char *what, const std::function<void()> &changed)
+void StoreReplication::makeReplica(Replica &replica, const std::string &prefix, const char *what, PrefixMirror::Hooks hooks)
 {
-    PrefixMirror::Hooks hooks;
     hooks.clock = m_hooks.clock;
     hooks.schedule = m_hooks.schedule;
     hooks.reader = m_hooks.reader;
-    hooks.changed = [this, &replica, changed] {
+    hooks.changed = [this, &replica, changed = std::move(hooks.changed)] {
         changed();
         schedulePassingOn(replica);
     };
@@ -44,8 +48,11 @@
 
 void StoreReplication::start()
 {
-    m_configuration.mirror->start();
-    m_instances.mirror->start();
+    // Which nodes watch the store is known only after the first read.
+    for (const Replica *replica : {&m_configuration, &m_instances}) {
+        replica->mirror->setReading(false);
+        replica->mirror->start();
+    }
 }
 
 void StoreReplication::setInstances(const InstanceList &list)
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -41,6 +41,8 @@
         std::function<void(const InstanceId &)> sendStatus;
         std::function<void()> configurationChanged;
         std::function<void()> instancesChanged;
+        //! Whether an instance entry that was written again says nothing new. If not set, each write is a change.
+        std::function<bool(const StoreItem &previous, const StoreItem &next)> isHeartbeat = nullptr;
         //! Called when this node's own access to the store is gained or lost. `what` names the items.
         std::function<void(const char *what, bool isAvailable)> availabilityChanged;
         //! A document of a peer cannot be read.
@@ -86,7 +88,7 @@
         std::optional<TimePoint> requestedAt;
     };
 
-    void makeReplica(Replica &replica, const std::string &prefix, const char *what, const std::function<void()> &changed);
+    void makeReplica(Replica &replica, const std::string &prefix, const char *what, PrefixMirror::Hooks hooks);
     void updateReading();
     void schedulePassingOn(Replica &replica);
     void passOn(Replica &replica);
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -142,6 +142,7 @@
     hooks.sendStatus = [this](const InstanceId &instance) { m_links->sendStatus(instance); };
     hooks.configurationChanged = [this] { configurationChanged(); };
     hooks.instancesChanged = [this] { instancesChanged(); };
+    hooks.isHeartbeat = m_protocol.isHeartbeat;
     hooks.availabilityChanged = [this](const char *what, bool isAvailable) {
         if (isAvailable) {
             m_log.info({"platform reachable", ResultCode::Success, {}, what});
--- a/src/chervilpaddle/mesh/platformprotocol.h
+++ b/src/chervilpaddle/mesh/platformprotocol.h
@@ -51,6 +51,8 @@
     std::string instancesPrefix;
     //! Decodes a configuration item; returns nothing and sets `reason` if it is invalid or is not the configuration.
     std::function<std::optional<RouteTable>(const StoreItem &, std::string &reason)> decodeRoutes;
+    //! Whether an instance entry that was written again only shows that its backend server is alive.
+    std::function<bool(const StoreItem &previous, const StoreItem &next)> isHeartbeat;
     //! Decodes an instance entry; returns nothing and sets `reason` if it is invalid.
     std::function<std::optional<InstanceDirectory::Entry>(const StoreItem &, std::string &reason)> decodeInstance;
 };
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -26,6 +26,7 @@
     std::deque<Range> ranges;
     std::deque<Watch> watches;
     std::deque<std::function<void()>> scheduled;
+    Duration lastDelay{};
     int changes = 0;
     std::vector<bool> availability;
     PrefixMirror mirror;
@@ -39,7 +40,10 @@
     {
         PrefixMirror::Hooks hooks;
         hooks.clock = [this] { return now; };
-        hooks.schedule = [this](Duration /*delay*/, std::function<void()> action) { scheduled.push_back(std::move(action)); };
+        hooks.schedule = [this](Duration delay, std::function<void()> action) {
+            lastDelay = delay;
+            scheduled.push_back(std::move(action));
+        };
         hooks.reader.range = [this](const std::string & /*prefix*/, const std::string &afterKey, auto reply) {
             ranges.push_back({afterKey, std::move(reply)});
         };
@@ -47,6 +51,10 @@
             watches.push_back({after, timeout, std::move(reply)});
         };
         hooks.changed = [this] { ++changes; };
+        // A value is a text, a hyphen and the number of the heartbeat.
+        hooks.isHeartbeat = [](const StoreItem &previous, const StoreItem &next) {
+            return previous.value.substr(0, previous.value.find('-')) == next.value.substr(0, next.value.find('-'));
+        };
         hooks.availabilityChanged = [this](bool isAvailable) { availability.push_back(isAvailable); };
         return hooks;
     }
@@ -230,3 +238,34 @@
     cr_assert_eq(store.watches.size(), 1);
     cr_assert_eq(store.watches.front().after.value(), 11);
 }
+
+Test(prefixmirror, heartbeats_are_no_changes)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "ready-1", 3), item("p/b", "ready-1", 4)}, 10);
+    const int changesBefore = store.changes;
+    store.events({{item("p/a", "ready-2", 11), false}, {item("p/b", "ready-2", 12), false}}, 12);
+    cr_assert_eq(store.changes, changesBefore);
+    cr_assert_eq(store.mirror.lastChange().value(), 4, "peers are not told of a change");
+    cr_assert_eq(store.mirror.syncedRevision().value(), 12);
+    cr_assert_eq(store.watches.front().after.value(), 12);
+    const Duration delayAfterHeartbeats = store.lastDelay;
+    store.events({{item("p/a", "ready-3", 13), false}, {item("p/b", "leaving-3", 14), false}}, 14);
+    cr_assert_eq(store.changes, changesBefore + 1);
+    cr_assert_eq(store.mirror.lastChange().value(), 14);
+    cr_assert_lt(store.lastDelay, delayAfterHeartbeats, "where heartbeats alone end the watches, they are asked for more rarely");
+    cr_assert_eq(store.mirror.changesSince(Revision(10)).find("p/a"), std::string::npos, "peers do not get heartbeats");
+}
+
+Test(prefixmirror, a_repeated_read_that_finds_heartbeats_only_is_no_change)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "ready-1", 3)}, 10);
+    const int changesBefore = store.changes;
+    store.failWatch(StoreStatus::Compacted);
+    store.page({item("p/a", "ready-9", 40)}, 50);
+    cr_assert_eq(store.changes, changesBefore);
+    cr_assert_eq(store.mirror.lastChange().value(), 3);
+}
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -41,9 +41,15 @@
         const StoreItem item{key, value, Revision(++m_revision)};
         m_items[key] = item;
         m_history.push_back({item, false});
-        for (auto &watch : std::exchange(m_watches, {})) {
-            answerWatch(watch);
+        std::vector<Watch> waiting;
+        for (const Watch &watch : std::exchange(m_watches, {})) {
+            if (key.rfind(watch.prefix, 0) == 0) {
+                answerWatch(watch);
+            } else {
+                waiting.push_back(watch);
+            }
         }
+        m_watches = std::move(waiting);
     }
 
     //! The number of nodes that hold the value of a key.
@@ -79,6 +85,7 @@
     int documents = 0;
     std::size_t documentBytes = 0;
     int otherMessages = 0;
+    int instanceListUpdates = 0;
 
 private:
     struct Watch
@@ -104,7 +111,11 @@
         };
         hooks.sendStatus = [this, id](const InstanceId &to) { deliver(id, to, statusOf(id)); };
         hooks.configurationChanged = [] {};
-        hooks.instancesChanged = [] {};
+        hooks.instancesChanged = [this] { ++instanceListUpdates; };
+        // A value is a text, a hyphen and the number of the heartbeat.
+        hooks.isHeartbeat = [](const StoreItem &previous, const StoreItem &next) {
+            return previous.value.substr(0, previous.value.find('-')) == next.value.substr(0, next.value.find('-'));
+        };
         hooks.availabilityChanged = [](const char * /*what*/, bool /*isAvailable*/) {};
         hooks.documentRejected = [](const InstanceId & /*from*/) { cr_assert_fail("a document could not be read"); };
         const StoreReplication::Options options{{id, own.dataCentre, own.service, {}}, "c/", "i/", static_cast<std::uint64_t>(index) + 1};
@@ -309,3 +320,34 @@
     cr_assert_eq(fleet.holders("i/missed", "2"), 30);
     cr_assert_eq(fleet.nodes.at(follower)->counters().requestsSent, 1);
 }
+
+//! Each backend server writes its entry again every 1.5 s. That is no change: it is neither passed on nor applied at any node, and it
+//! costs calls to the store by the number of readers and not of backend servers.
+Test(storereplication, heartbeats_of_the_entries_are_not_passed_on)
+{
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    constexpr int readsPerSecond = 3;
+    constexpr int watchesThatEndByThemselves = 5;
+    constexpr int heartbeats = 400;
+    for (const int size : {50, 200}) {
+        ReplicatedFleet fleet(size);
+        for (int i = 0; i < size; ++i) {
+            fleet.write("i/" + std::to_string(i), "ready-0");
+        }
+        fleet.time.runFor(3s);
+        fleet.storeCalls = 0;
+        fleet.documents = 0;
+        fleet.instanceListUpdates = 0;
+        for (int beat = 1; beat <= heartbeats; ++beat) {
+            fleet.write("i/" + std::to_string(beat % size), "ready-" + std::to_string(beat));
+            fleet.time.runFor(25ms);
+        }
+        cr_expect_eq(fleet.documents, 0, "%d documents at %d nodes", fleet.documents, size);
+        cr_expect_eq(fleet.instanceListUpdates, 0, "%d updates at %d nodes", fleet.instanceListUpdates, size);
+        cr_expect_leq(
+            fleet.storeCalls, readers * (10 * readsPerSecond + watchesThatEndByThemselves), "%d calls at %d nodes", fleet.storeCalls, size);
+        fleet.write("i/7", "leaving-1");
+        fleet.time.runFor(500ms);
+        cr_expect_eq(fleet.holders("i/7", "leaving-1"), size);
+    }
+}
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -204,3 +204,22 @@
     HttpRequest withoutId;
     cr_assert_not(parseCall(withoutId, ServiceName("own")).has_value());
 }
+
+Test(platform, an_entry_that_only_counts_on_is_a_heartbeat)
+{
+    const std::string value =
+        R"({"service":"x","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","cold_remaining_s":2,"sequence":4,"born":17})";
+    const StoreItem previous{"servers/i-1", value, Revision(5)};
+    const auto isHeartbeatWith = [&](const std::string &changed) { return isHeartbeat(previous, {"servers/i-1", changed, Revision(6)}); };
+    const std::string next = replaced(value, "\"sequence\":4", "\"sequence\":5");
+    cr_assert(isHeartbeatWith(next));
+    cr_assert(isHeartbeatWith(replaced(next, "\"cold_remaining_s\":2", "\"cold_remaining_s\":0.5")));
+    cr_assert_not(isHeartbeatWith(replaced(next, "ready", "draining")));
+    cr_assert_not(isHeartbeatWith(replaced(next, "\"born\":17", "\"born\":18")));
+    cr_assert_not(isHeartbeatWith(replaced(next, "\"slots\":4", "\"slots\":8")));
+    cr_assert_not(isHeartbeatWith(replaced(next, "10.0.0.1", "10.0.0.2")));
+    cr_assert_not(isHeartbeatWith(replaced(value, "\"sequence\":4", "\"sequence\":1")), "the count starts anew with the backend server");
+    cr_assert_not(isHeartbeatWith(replaced(next, "\"sequence\":5", "\"sequence\":\"x\"")));
+    cr_assert_not(isHeartbeatWith("no JSON"));
+    cr_assert_not(isHeartbeat({"servers/i-1", "[]", Revision(5)}, {"servers/i-1", value, Revision(6)}));
+}
