Keep nodes from reading the store while a fleet starts or its readers change

Where readers are replaced, followers also waited only 0 to 0.3 s, as the reports of the former ones no longer counted; and a node that began to watch, or lost the store, reported access only when its first watch ended after 2 to 6 s. Change: a node reads until the list names a reader, then waits for the first report of the new readers, also when they have changed, provided those before had access; one that has read for want of the first report stops with it; the first watch is short where it is not known whether the store answers. Conclusion: what is left are two reads and a watch of each node at its start, the readers, and nodes that are not listed yet: readers do not send to them, so they read themselves after a while.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -15,6 +15,8 @@
 //! random, so that if all connections become silent at once some node detects it early and informs its peers.
 constexpr Duration minWatchDuration = std::chrono::seconds(2);
 constexpr Duration maxWatchDuration = std::chrono::seconds(6);
+//! A watch tells that the store is available only when it ends, so it is short while that is not known.
+constexpr Duration probingWatchDuration = std::chrono::milliseconds(100);
 //! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them.
 constexpr Duration rewatchDelay = std::chrono::milliseconds(150);
 //! Pause after a watch that has returned heartbeats only. They end every watch at once, so that this is the time between reads.
@@ -207,8 +209,15 @@
         m_isBusy = false;
         return;
     }
-    const Duration duration = minWatchDuration + fromSeconds(toSeconds(maxWatchDuration - minWatchDuration) * uniformFraction(m_random));
-    m_hooks.reader.watch(m_prefix, m_syncedRevision, duration, [this](const StoreChanges &changes) { handleChanges(changes); });
+    m_hooks.reader.watch(m_prefix, m_syncedRevision, watchDuration(), [this](const StoreChanges &changes) { handleChanges(changes); });
+}
+
+Duration PrefixMirror::watchDuration()
+{
+    if (!m_answeringSince) {
+        return probingWatchDuration;
+    }
+    return minWatchDuration + fromSeconds(toSeconds(maxWatchDuration - minWatchDuration) * uniformFraction(m_random));
 }
 
 void PrefixMirror::handleChanges(const StoreChanges &changes)
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -71,6 +71,7 @@
     void handlePage(const StorePage &page);
     void finishSnapshot();
     void watch();
+    Duration watchDuration();
     void handleChanges(const StoreChanges &changes);
     void handleFailure(std::function<void()> retry);
     void markAvailable();
--- a/src/chervilpaddle/controllers/readerrole.cpp
+++ b/src/chervilpaddle/controllers/readerrole.cpp
@@ -1,6 +1,7 @@
 #include <chervilpaddle/controllers/readerrole.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -8,7 +9,7 @@
 
 //! Three report intervals: a reader that has been silent for longer does not count.
 constexpr Duration reportLifetime = std::chrono::milliseconds(1200);
-//! At the start of the fleet, the first reports arrive after the links have been established.
+//! The first report of a reader arrives after it has been selected and the links have been established.
 constexpr Duration firstReportDelay = std::chrono::milliseconds(1000);
 constexpr Duration maxTakeOverDelay = std::chrono::milliseconds(300);
 //! A node that has taken over goes on reading for this long, so that an unsteady reader does not make it switch back and forth.
@@ -25,8 +26,13 @@
 
 void ReaderRole::setInstances(const InstanceList &list, TimePoint now)
 {
-    m_lastActiveReaderAt = m_lastActiveReaderAt.value_or(now + firstReportDelay);
+    const bool hadReader = m_isSelected || hasActiveReader(now);
     m_readers = selectReaders(list, m_localNode.dataCentre, storeReadersPerDataCentre);
+    // Other readers than before have not reported yet. They get time for it only if those before them had access to the store,
+    // so that a series of changes cannot put off for long that this node turns to the store.
+    if (!m_readers.empty() && (!m_lastActiveReaderAt || (hadReader && !hasActiveReader(now)))) {
+        m_lastActiveReaderAt = now + firstReportDelay;
+    }
     m_isSelected = std::find(m_readers.begin(), m_readers.end(), m_localNode.instance) != m_readers.end();
     m_receivers.clear();
     m_followers.clear();
@@ -63,7 +69,8 @@
     }
     if (hasActiveReader(now)) {
         m_lastActiveReaderAt = std::max(*m_lastActiveReaderAt, now);
-        if (m_takenOverSince && now - *m_takenOverSince >= minReadingTime) {
+        const bool isFirstReader = !std::exchange(m_hasHeardReader, true);
+        if (m_takenOverSince && (isFirstReader || now - *m_takenOverSince >= minReadingTime)) {
             m_takenOverSince.reset();
         }
     } else if (now - *m_lastActiveReaderAt >= m_takeOverDelay) {
@@ -77,6 +84,11 @@
     return m_isSelected;
 }
 
+bool ReaderRole::isSubstitute() const
+{
+    return m_takenOverSince.has_value();
+}
+
 bool ReaderRole::isLocalReader(const InstanceId &instance) const
 {
     return std::find(m_readers.begin(), m_readers.end(), instance) != m_readers.end();
--- a/src/chervilpaddle/controllers/readerrole.h
+++ b/src/chervilpaddle/controllers/readerrole.h
@@ -21,7 +21,7 @@
 public:
     ReaderRole(LocalNode localNode, std::uint64_t seed);
 
-    //! Sets the published instances, from which the readers are selected. Until then, this node reads the store.
+    //! Sets the published instances, from which the readers are selected. Until there is one, this node reads the store.
     void setInstances(const InstanceList &list, TimePoint now);
     //! Records that an instance has reported for how long it has had access to the store; nullopt if it has none.
     void recordReport(const InstanceId &instance, std::optional<Duration> availableFor, TimePoint now);
@@ -29,6 +29,8 @@
     bool mustRead(TimePoint now);
     //! Whether this node is one of the selected readers, which pass changes on.
     bool isSelected() const;
+    //! Whether this node, although not selected, read the store at the last call of mustRead().
+    bool isSubstitute() const;
     //! Whether the instance is one of the selected readers of the local data centre.
     bool isLocalReader(const InstanceId &instance) const;
     //! The instances to which this node passes changes on; empty if it is not a selected reader.
@@ -55,8 +57,9 @@
     std::vector<InstanceId> m_followers;
     bool m_isSelected = true;
     std::map<InstanceId, Report> m_reports;
-    //! When a reader last had access to the store; not set until the readers are known.
+    //! When a reader last had access to the store; not set until there are readers.
     std::optional<TimePoint> m_lastActiveReaderAt;
+    bool m_hasHeardReader = false;
     //! Since when this node has been reading in place of the selected readers.
     std::optional<TimePoint> m_takenOverSince;
 };
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -269,3 +269,21 @@
     cr_assert_eq(store.changes, changesBefore);
     cr_assert_eq(store.mirror.lastChange().value(), 3);
 }
+
+Test(prefixmirror, a_mirror_that_does_not_know_whether_the_store_answers_asks_it_briefly)
+{
+    FakeStore store;
+    store.mirror.setReading(false);
+    store.mirror.start();
+    store.page({item("p/a", "ready-1", 3)}, 10);
+    store.mirror.setAvailableSince(std::nullopt);
+    cr_assert(store.watches.empty());
+    store.mirror.setReading(true);
+    cr_assert_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
+    store.events({}, 10);
+    cr_assert(store.mirror.availableSince().has_value());
+    cr_assert_geq(store.watches.front().timeout, std::chrono::seconds(2));
+    store.failWatch(StoreStatus::Failed);
+    store.scheduled.front()();
+    cr_assert_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
+}
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/controllers/storereplication.h>
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
 #include <set>
@@ -52,6 +53,31 @@
         m_watches = std::move(waiting);
     }
 
+    //! Removes nodes, of which all others learn at once.
+    void remove(const std::vector<InstanceId> &ids)
+    {
+        const auto isRemoved = [&ids](const PublishedInstance &instance) {
+            return std::find(ids.begin(), ids.end(), instance.instance) != ids.end();
+        };
+        InstanceList list = m_list;
+        list.instances.erase(std::remove_if(list.instances.begin(), list.instances.end(), isRemoved), list.instances.end());
+        stopped.insert(ids.begin(), ids.end());
+        for (const auto &[id, node] : nodes) {
+            if (stopped.count(id) == 0) {
+                node->setInstances(list);
+            }
+        }
+    }
+
+    //! The number of nodes that read the store in place of the selected readers.
+    int substitutes() const
+    {
+        return static_cast<int>(std::count_if(nodes.begin(), nodes.end(), [this](const auto &entry) {
+            const ReaderRole &role = entry.second->role();
+            return stopped.count(entry.first) == 0 && role.isSubstitute();
+        }));
+    }
+
     //! The number of nodes that hold the value of a key.
     int holders(const std::string &key, const std::string &value) const
     {
@@ -351,3 +377,16 @@
         cr_expect_eq(fleet.holders("i/7", "leaving-1"), size);
     }
 }
+
+//! Readers leave, and others are selected. These know of their access to the store, and report it, before the followers miss it.
+Test(storereplication, followers_do_not_take_over_while_readers_change)
+{
+    ReplicatedFleet fleet(60);
+    fleet.remove(fleet.selectedReaders());
+    int substitutes = 0;
+    for (int step = 0; step < 50; ++step) {
+        fleet.time.runFor(100ms);
+        substitutes = std::max(substitutes, fleet.substitutes());
+    }
+    cr_assert_eq(substitutes, 0, "%d nodes read the store themselves", substitutes);
+}
