Let readers take turns, and pause longer between watches that heartbeats end

Cause: heartbeats end every watch at once, so that a reader called the store 2.4 times a second, ten readers in a fleet of 29 nodes; and each of the registrations before traffic ended the watches of all nodes that were not listed yet. Change: 0.8 to 1.0 s between watches that found heartbeats only, half of the time within which a change must be known; 0.3 to 0.4 s after a change; both random, so that the readers, which tell each other, take turns. Ruled out: longer pauses alone do not change the calls of the start (453 of the 481 were made by the first second of traffic).

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -17,10 +17,14 @@
 constexpr Duration maxWatchDuration = std::chrono::seconds(6);
 //! A watch tells that the store is available only when it ends, so it is short while that is not known.
 constexpr Duration probingWatchDuration = std::chrono::milliseconds(100);
-//! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them.
-constexpr Duration rewatchDelay = std::chrono::milliseconds(150);
-//! Pause after a watch that has returned heartbeats only. They end every watch at once, so that this is the time between reads.
-constexpr Duration heartbeatRewatchDelay = std::chrono::milliseconds(400);
+//! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them. The
+//! pauses are random, so that several readers take turns.
+constexpr Duration minRewatchDelay = std::chrono::milliseconds(300);
+constexpr Duration maxRewatchDelay = std::chrono::milliseconds(400);
+//! Longest pause after a watch that has returned heartbeats only. They end every watch at once, so that this is the time between
+//! reads: half of the time within which a change must be known.
+constexpr Duration maxHeartbeatRewatchDelay = std::chrono::milliseconds(1000);
+constexpr Duration minHeartbeatRewatchDelay = std::chrono::milliseconds(800);
 
 //! Number of changes that are kept for peers that are behind. Bounds the memory; a peer that is further behind gets all items.
 constexpr std::size_t maxRecentEvents = 1024;
@@ -217,7 +221,12 @@
     if (!m_answeringSince) {
         return probingWatchDuration;
     }
-    return minWatchDuration + fromSeconds(toSeconds(maxWatchDuration - minWatchDuration) * uniformFraction(m_random));
+    return randomDuration(minWatchDuration, maxWatchDuration);
+}
+
+Duration PrefixMirror::randomDuration(Duration min, Duration max)
+{
+    return min + fromSeconds(toSeconds(max - min) * uniformFraction(m_random));
 }
 
 void PrefixMirror::handleChanges(const StoreChanges &changes)
@@ -241,7 +250,9 @@
     if (isChanged) {
         m_hooks.changed();
     }
-    m_hooks.schedule(isChanged ? rewatchDelay : heartbeatRewatchDelay, [this] { watch(); });
+    const Duration delay =
+        isChanged ? randomDuration(minRewatchDelay, maxRewatchDelay) : randomDuration(minHeartbeatRewatchDelay, maxHeartbeatRewatchDelay);
+    m_hooks.schedule(delay, [this] { watch(); });
 }
 
 //! Applies the changes that the items do not contain yet, and keeps these for peers. Returns false if there are none.
