--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -67,7 +67,11 @@
                     "service " + m_settings.service.value() + ", callers at " + toText(m_settings.callers)});
         waitForSignal();
         m_context.run();
-        m_log.info({"node stopped", ResultCode::Success, {}, {}});
+        m_log.info(
+            {"node stopped",
+             ResultCode::Success,
+             {},
+             "peer frames and bytes sent: " + toText(m_core.transport().sent()) + "; received: " + toText(m_core.transport().received())});
         m_log.flush();
         return {};
     }
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -88,8 +88,8 @@
         scrapeExecutor(core.executor());
         scrapeRouter(core.router());
         gauge("chervilpaddle_links", "Open links to peers", static_cast<double>(core.links().linkCount()));
-        counter("chervilpaddle_peer_sent_bytes_total", "Bytes sent to peers", core.transport().bytesSent());
-        counter("chervilpaddle_peer_received_bytes_total", "Bytes received from peers", core.transport().bytesReceived());
+        scrapeTraffic("chervilpaddle_peer_sent", "sent to peers", core.transport().sent());
+        scrapeTraffic("chervilpaddle_peer_received", "received from peers", core.transport().received());
         std::vector<prometheus::MetricFamily> families = m_registry.Collect();
         families.insert(families.end(), additionalFamilies.begin(), additionalFamilies.end());
         return prometheus::TextSerializer().Serialize(families);
@@ -142,9 +142,17 @@
         prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add({}).Set(value);
     }
 
-    void counter(const std::string &name, const std::string &help, std::uint64_t value)
+    void scrapeTraffic(const std::string &prefix, const std::string &what, const PeerTraffic &traffic)
     {
-        auto &metric = prometheus::BuildCounter().Name(name).Help(help).Register(m_registry).Add({});
+        for (const PeerTraffic::Entry &entry : traffic.entries()) {
+            counter(prefix + "_frames_total", "Frames " + what, entry.frames, {{"kind", entry.kind}});
+            counter(prefix + "_bytes_total", "Bytes " + what, entry.bytes, {{"kind", entry.kind}});
+        }
+    }
+
+    void counter(const std::string &name, const std::string &help, std::uint64_t value, const prometheus::Labels &labels = {})
+    {
+        auto &metric = prometheus::BuildCounter().Name(name).Help(help).Register(m_registry).Add(labels);
         metric.Increment(static_cast<double>(value) - metric.Value());
     }
 
--- a/src/chervilpaddle/node/statedump.cpp
+++ b/src/chervilpaddle/node/statedump.cpp
@@ -105,8 +105,8 @@
     return {{"links", core.links().linkCount()},
             {"connections", core.links().connectionCount()},
             {"states", linkStates(core)},
-            {"bytesSent", core.transport().bytesSent()},
-            {"bytesReceived", core.transport().bytesReceived()}};
+            {"bytesSent", core.transport().sent().totalBytes()},
+            {"bytesReceived", core.transport().received().totalBytes()}};
 }
 
 } // namespace
--- a/src/chervilpaddle/peer/all.h
+++ b/src/chervilpaddle/peer/all.h
@@ -4,3 +4,4 @@
 
 #include <chervilpaddle/peer/codec.h>
 #include <chervilpaddle/peer/messages.h>
+#include <chervilpaddle/peer/peertraffic.h>
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -114,7 +114,7 @@
     void send(ConnectionId id, const PeerMessage &message)
     {
         const std::string bytes = encodeFrame({message, m_hooks.clock()});
-        m_bytesSent += bytes.size();
+        m_sent.record(message, bytes.size());
         websocketpp::lib::error_code error;
         if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
             sendOn(m_client, outbound->second, id, bytes);
@@ -144,8 +144,8 @@
         }
     }
 
-    std::uint64_t m_bytesSent = 0;
-    std::uint64_t m_bytesReceived = 0;
+    PeerTraffic m_sent;
+    PeerTraffic m_received;
 
 private:
     template<typename EndpointType>
@@ -188,13 +188,13 @@
 
     void handleFrame(ConnectionId id, const std::string &bytes)
     {
-        m_bytesReceived += bytes.size();
         PeerFrame frame;
         if (const std::error_code error = decodeFrame(bytes, frame); error) {
             m_hooks.frameRejected(id, error);
             close(id);
             return;
         }
+        m_received.record(frame.message, bytes.size());
         m_hooks.received(id, std::move(frame));
     }
 
@@ -272,14 +272,14 @@
     m_impl->shutdown();
 }
 
-std::uint64_t PeerTransport::bytesSent() const
+const PeerTraffic &PeerTransport::sent() const
 {
-    return m_impl->m_bytesSent;
+    return m_impl->m_sent;
 }
 
-std::uint64_t PeerTransport::bytesReceived() const
+const PeerTraffic &PeerTransport::received() const
 {
-    return m_impl->m_bytesReceived;
+    return m_impl->m_received;
 }
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/peer/peertraffic.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -39,8 +40,8 @@
     //! Stops accepting and closes all connections after pending frames have been written.
     void shutdown();
 
-    std::uint64_t bytesSent() const;
-    std::uint64_t bytesReceived() const;
+    const PeerTraffic &sent() const;
+    const PeerTraffic &received() const;
 
 private:
     class Impl;
--- /dev/null
+++ b/tests/peer/peertraffic.cpp
@@ -0,0 +1,28 @@
+#include <chervilpaddle/peer/peertraffic.h>
+
+#include <criterion/criterion.h>
+#include <set>
+#include <string>
+
+using namespace chervilpaddle;
+
+Test(peertraffic, counts_frames_and_bytes_by_kind)
+{
+    PeerTraffic traffic;
+    traffic.record(StatusMessage(), 100);
+    traffic.record(CallMessage(), 500);
+    traffic.record(StatusMessage(), 120);
+    cr_assert_eq(traffic.totalBytes(), 720);
+    cr_assert(toText(traffic) == "call 1/500, status 2/220");
+}
+
+Test(peertraffic, every_kind_has_a_name_of_its_own)
+{
+    const PeerTraffic traffic;
+    std::set<std::string> names;
+    for (const PeerTraffic::Entry &entry : traffic.entries()) {
+        names.insert(entry.kind);
+    }
+    cr_assert_eq(names.size(), traffic.entries().size());
+    cr_assert(toText(traffic).empty());
+}
