--- a/tests/process/lib/mesh.sh
+++ b/tests/process/lib/mesh.sh
@@ -30,7 +30,7 @@
 window_seconds = 10
 [process]
 interface = http
-stop_grace_seconds = 6
+stop_grace_seconds = ${mesh_stop_grace:-6}
 [log]
 level = info
 format = json
