--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -155,17 +155,19 @@
             result.stage = HttpStage::TooLarge;
         } else if (error) {
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
-        } else if (isCloseDelimited() && !m_options.acceptsCloseDelimitedBodies) {
-            result.stage = HttpStage::Truncated;
-        } else if (HttpResponse response = takeResponse(); !isInterim() && isForThisRequest(response)) {
-            result.stage = HttpStage::Complete;
-            result.response = std::move(response);
-        } else if (maySkipResponse()) {
-            resetParser();
-            read();
-            return;
         } else {
-            result.stage = HttpStage::Truncated;
+            HttpResponse response = takeResponse();
+            const bool isExpected = !isInterim() && isForThisRequest(response);
+            if (!isExpected && maySkipResponse()) {
+                resetParser();
+                read();
+                return;
+            }
+            const bool isWhole = isExpected && (m_options.acceptsCloseDelimitedBodies || !isCloseDelimited());
+            result.stage = isWhole ? HttpStage::Complete : HttpStage::Truncated;
+            if (isWhole) {
+                result.response = std::move(response);
+            }
         }
         m_reusable = result.stage == HttpStage::Complete && !m_writing && m_parser->get().keep_alive();
         if (m_reusable) {
