Report the lines of an invalid settings file on SIGHUP

Cause: a file that did not check was refused with "the settings file is invalid"; which line was wrong was dropped. Change: the problems are logged one by one, with file, line, key and reason; what was in force stays, as before.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -60,8 +60,7 @@
     if (!settings.servesPlainHttp) {
         return Node(settings).run();
     }
-    const auto reload = [&arguments]() -> std::optional<NodeSettings> {
-        std::vector<Problem> problems;
+    const auto reload = [&arguments](std::vector<Problem> &problems) -> std::optional<NodeSettings> {
         NodeSettings reloaded = loadSettings(arguments, problems);
         return problems.empty() ? std::optional<NodeSettings>(std::move(reloaded)) : std::nullopt;
     };
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -109,10 +109,12 @@
     //! the next start.
     void reload()
     {
-        const auto settings = m_reload();
+        std::vector<Problem> problems;
+        const auto settings = m_reload(problems);
         if (!settings) {
-            m_log.warn(
-                {"settings not reloaded", ResultCode::SettingInvalid, {}, "the settings file is invalid; keeping the current settings"});
+            for (const Problem &problem : problems) {
+                m_log.warn({"settings not reloaded", problem.code, {}, toText(problem)});
+            }
             return;
         }
         m_log.info({"settings reloaded", ResultCode::Success, {}, "log level " + settings->logLevel});
--- a/src/chervilpaddle/mesh/meshnode.h
+++ b/src/chervilpaddle/mesh/meshnode.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <chervilpaddle/base/problem.h>
 #include <chervilpaddle/mesh/platformprotocol.h>
 #include <chervilpaddle/node/nodesettings.h>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <system_error>
+#include <vector>
 
 namespace chervilpaddle {
 
@@ -13,8 +17,8 @@
 class MeshNode
 {
 public:
-    //! Reads the settings again on SIGHUP; returns nothing if they are invalid, after reporting why.
-    using Reload = std::function<std::optional<NodeSettings>()>;
+    //! Reads the settings again on SIGHUP; returns nothing if they are invalid, and adds what is wrong with them to `problems`.
+    using Reload = std::function<std::optional<NodeSettings>(std::vector<Problem> &problems)>;
 
     MeshNode(const NodeSettings &settings, PlatformProtocol protocol, Reload reload);
     ~MeshNode();
