--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t maxStoreAvailability = 86'400'000'000;
 constexpr int maxRetryAllowance = 1'000;
 constexpr int hexadecimal = 16;
+//! Longest encoding of the start of a map.
+constexpr std::size_t maxMapHeadBytes = 9;
 //! Room for the fields of an ordinary call without its body.
 constexpr std::size_t initialFieldBytes = 1024;
 
@@ -65,7 +67,7 @@
     std::string finish() const
     {
         CborWriter frame;
-        frame.reserve(m_fields.bytes().size() + sizeof m_count + 1);
+        frame.reserve(m_fields.bytes().size() + maxMapHeadBytes);
         frame.startMap(m_count);
         frame.append(m_fields);
         return frame.takeBytes();
