Nodes that read in place of the readers tell them of changes

Cause: where the store turns away all selected readers, the other nodes read it themselves, but passed nothing on; the readers learned of a change only from the next status of a peer, after up to five seconds. Found by: reading; the test failed first (24 of 30 nodes knew the change after 2 s, now 30). Change: a substitute sends changes to the selected readers of its data centre, which pass them on.

--- a/src/chervilpaddle/controllers/readerrole.cpp
+++ b/src/chervilpaddle/controllers/readerrole.cpp
@@ -96,7 +96,7 @@
 
 const std::vector<InstanceId> &ReaderRole::receivers() const
 {
-    return m_receivers;
+    return isSubstitute() ? m_readers : m_receivers;
 }
 
 const std::vector<InstanceId> &ReaderRole::followers() const
--- a/src/chervilpaddle/controllers/readerrole.h
+++ b/src/chervilpaddle/controllers/readerrole.h
@@ -33,7 +33,8 @@
     bool isSubstitute() const;
     //! Whether the instance is one of the selected readers of the local data centre.
     bool isLocalReader(const InstanceId &instance) const;
-    //! The instances to which this node passes changes on; empty if it is not a selected reader.
+    //! The instances to which this node passes changes on: as a selected reader, the nodes of its data centre and the other readers;
+    //! as a substitute, the selected readers of its data centre, which may lack access to the store but not to their followers.
     const std::vector<InstanceId> &receivers() const;
     //! The instances that rely on the reports of this node; empty if it is not a selected reader.
     const std::vector<InstanceId> &followers() const;
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -331,6 +331,18 @@
     cr_assert_eq(fleet.holders("i/changed", "2"), 30);
 }
 
+//! The store turns all selected readers away: the nodes that read in their place tell them of a change.
+Test(storereplication, changes_reach_readers_that_are_all_turned_away)
+{
+    ReplicatedFleet fleet(30);
+    const auto readers = fleet.selectedReaders();
+    fleet.withoutStore.insert(readers.begin(), readers.end());
+    fleet.time.runFor(10s);
+    fleet.write("i/changed", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/changed", "2"), 30);
+}
+
 Test(storereplication, a_node_that_missed_a_change_asks_one_peer_for_it)
 {
     ReplicatedFleet fleet(30);
