Keep the revision of an instance entry through its heartbeats

Cause: a heartbeat is no change, but raised the revision of the stored item. A node decodes what has a higher revision than the one it has decoded, so with the next real change a reader decoded every entry again. Change: the item takes the value of the heartbeat, with which the next one is compared, and keeps the revision of its last change. Test: prefixmirror.heartbeats_are_no_changes asks for both, and failed for the revision.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -276,10 +276,10 @@
         return false;
     }
     const auto known = m_items.find(event.item.key);
-    if (known != m_items.end() && !event.isRemoved && isHeartbeat(known->second, event.item)) {
-        if (known->second.revision < event.item.revision) {
-            known->second = event.item;
-        }
+    const bool isNewer = known != m_items.end() && known->second.revision < event.item.revision;
+    if (isNewer && !event.isRemoved && isHeartbeat(known->second, event.item)) {
+        // The revision stays that of the last change: what was decoded from the item still holds.
+        known->second.value = event.item.value;
         return false;
     }
     updateLastChange(event.item.revision);
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -250,6 +250,8 @@
     cr_assert_eq(store.mirror.lastChange().value(), 4, "peers are not told of a change");
     cr_assert_eq(store.mirror.syncedRevision().value(), 12);
     cr_assert_eq(store.watches.front().after.value(), 12);
+    cr_assert_eq(store.mirror.items().at("p/a").revision.value(), 3, "what was decoded from the item still holds");
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "ready-2", "the next heartbeat is compared with the latest");
     const Duration delayAfterHeartbeats = store.lastDelay;
     store.events({{item("p/a", "ready-3", 13), false}, {item("p/b", "leaving-3", 14), false}}, 14);
     cr_assert_eq(store.changes, changesBefore + 1);
