Draw random durations with one function

Five places computed a random duration between two bounds by themselves: three pauses, a delay and a jitter. The values are the same for the same seed.

--- a/src/chervilpaddle/base/random.cpp
+++ b/src/chervilpaddle/base/random.cpp
@@ -34,6 +34,11 @@
     return std::uniform_real_distribution<double>(0.0, 1.0)(random);
 }
 
+Duration randomDuration(RandomSource &random, Duration min, Duration max)
+{
+    return min + fromSeconds(toSeconds(max - min) * uniformFraction(random));
+}
+
 std::uint64_t stableHash(const std::string &bytes)
 {
     return XXH64(bytes.data(), bytes.size(), 0);
--- a/src/chervilpaddle/base/random.h
+++ b/src/chervilpaddle/base/random.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chervilpaddle/base/clock.h>
+
 #include <cstdint>
 #include <random>
 #include <string>
@@ -21,6 +23,9 @@
 //! Returns a uniformly distributed number in [0, 1).
 double uniformFraction(RandomSource &random);
 
+//! Returns a uniformly distributed duration in [min, max). Precondition: min <= max.
+Duration randomDuration(RandomSource &random, Duration min, Duration max);
+
 //! Returns the 64-bit xxHash of the bytes; identical on every machine.
 std::uint64_t stableHash(const std::string &bytes);
 
--- a/src/chervilpaddle/controllers/configurationsync.cpp
+++ b/src/chervilpaddle/controllers/configurationsync.cpp
@@ -289,7 +289,7 @@
 
 Duration ConfigurationSync::withJitter(Duration base)
 {
-    return base + fromSeconds(toSeconds(base) * uniformFraction(m_random));
+    return randomDuration(m_random, base, 2 * base);
 }
 
 const char *ConfigurationSync::platformKey(Document document)
--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -286,7 +286,7 @@
     peer.dialingConnection.reset();
     const Duration delay = initialRedialDelay * (1 << std::min(peer.failedDials, maxBackoffDoublings));
     ++peer.failedDials;
-    peer.nextDialAt = now + delay + fromSeconds(toSeconds(delay) * uniformFraction(m_random));
+    peer.nextDialAt = now + randomDuration(m_random, delay, 2 * delay);
     if (m_hooks.hasOutstanding(peer.published.instance)) {
         m_hooks.unreachable(peer.published.instance);
     }
--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -221,12 +221,7 @@
     if (!m_answeringSince) {
         return probingWatchDuration;
     }
-    return randomDuration(minWatchDuration, maxWatchDuration);
-}
-
-Duration PrefixMirror::randomDuration(Duration min, Duration max)
-{
-    return min + fromSeconds(toSeconds(max - min) * uniformFraction(m_random));
+    return randomDuration(m_random, minWatchDuration, maxWatchDuration);
 }
 
 void PrefixMirror::handleChanges(const StoreChanges &changes)
@@ -250,8 +245,8 @@
     if (isChanged) {
         m_hooks.changed();
     }
-    const Duration delay =
-        isChanged ? randomDuration(minRewatchDelay, maxRewatchDelay) : randomDuration(minHeartbeatRewatchDelay, maxHeartbeatRewatchDelay);
+    const Duration delay = isChanged ? randomDuration(m_random, minRewatchDelay, maxRewatchDelay)
+                                     : randomDuration(m_random, minHeartbeatRewatchDelay, maxHeartbeatRewatchDelay);
     m_hooks.schedule(delay, [this] { watch(); });
 }
 
@@ -303,7 +298,7 @@
     }
     const Duration delay = initialRetryDelay * (1 << std::min(m_failures, maxBackoffDoublings));
     ++m_failures;
-    m_hooks.schedule(delay + fromSeconds(toSeconds(delay) * uniformFraction(m_random)), std::move(retry));
+    m_hooks.schedule(randomDuration(m_random, delay, 2 * delay), std::move(retry));
 }
 
 void PrefixMirror::markAvailable()
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -72,7 +72,6 @@
     void finishSnapshot();
     void watch();
     Duration watchDuration();
-    Duration randomDuration(Duration min, Duration max);
     void handleChanges(const StoreChanges &changes);
     void handleFailure(std::function<void()> retry);
     void markAvailable();
--- a/src/chervilpaddle/controllers/readerrole.cpp
+++ b/src/chervilpaddle/controllers/readerrole.cpp
@@ -21,7 +21,7 @@
     : m_localNode(std::move(localNode))
 {
     RandomSource random(seed);
-    m_takeOverDelay = fromSeconds(toSeconds(maxTakeOverDelay) * uniformFraction(random));
+    m_takeOverDelay = randomDuration(random, Duration::zero(), maxTakeOverDelay);
 }
 
 void ReaderRole::setInstances(const InstanceList &list, TimePoint now)
