Name the kinds of peer traffic in one table

Ten overloads and an index sequence spelled out what a table in the order of the variant says. A test records one message of each kind, so that a table in another order fails.

--- a/src/chervilpaddle/peer/peertraffic.cpp
+++ b/src/chervilpaddle/peer/peertraffic.cpp
@@ -6,60 +6,22 @@
 
 namespace {
 
-struct KindName
-{
-    const char *operator()(const HelloMessage & /*message*/) const
-    {
-        return "hello";
-    }
-    const char *operator()(const CallMessage & /*message*/) const
-    {
-        return "call";
-    }
-    const char *operator()(const ResponseMessage & /*message*/) const
-    {
-        return "response";
-    }
-    const char *operator()(const CancelMessage & /*message*/) const
-    {
-        return "cancel";
-    }
-    const char *operator()(const VoidTicketMessage & /*message*/) const
-    {
-        return "void";
-    }
-    const char *operator()(const StatusMessage & /*message*/) const
-    {
-        return "status";
-    }
-    const char *operator()(const ConfigurationRequest & /*message*/) const
-    {
-        return "configuration request";
-    }
-    const char *operator()(const ConfigurationMessage & /*message*/) const
-    {
-        return "configuration";
-    }
-    const char *operator()(const InstancesRequest & /*message*/) const
-    {
-        return "instances request";
-    }
-    const char *operator()(const InstancesMessage & /*message*/) const
-    {
-        return "instances";
-    }
-};
-
-template<std::size_t... indexes>
-PeerTraffic::Entries emptyEntries(std::index_sequence<indexes...> /*indexes*/)
-{
-    return {PeerTraffic::Entry{KindName()(std::variant_alternative_t<indexes, PeerMessage>()), 0, 0}...};
-}
+//! In the order of the alternatives of PeerMessage.
+constexpr PeerTraffic::Entries emptyEntries = {{{"hello"},
+                                                {"call"},
+                                                {"response"},
+                                                {"cancel"},
+                                                {"void"},
+                                                {"status"},
+                                                {"configuration request"},
+                                                {"configuration"},
+                                                {"instances request"},
+                                                {"instances"}}};
 
 } // namespace
 
 PeerTraffic::PeerTraffic()
-    : m_entries(emptyEntries(std::make_index_sequence<std::variant_size_v<PeerMessage>>()))
+    : m_entries(emptyEntries)
 {
 }
 
--- a/tests/peer/peertraffic.cpp
+++ b/tests/peer/peertraffic.cpp
@@ -26,3 +26,24 @@
     cr_assert_eq(names.size(), traffic.entries().size());
     cr_assert(toText(traffic).empty());
 }
+
+Test(peertraffic, each_kind_is_counted_under_its_name)
+{
+    PeerTraffic traffic;
+    std::size_t bytes = 0;
+    for (const PeerMessage &message : std::initializer_list<PeerMessage>{HelloMessage(),
+                                                                         CallMessage(),
+                                                                         ResponseMessage(),
+                                                                         CancelMessage(),
+                                                                         VoidTicketMessage(),
+                                                                         StatusMessage(),
+                                                                         ConfigurationRequest(),
+                                                                         ConfigurationMessage(),
+                                                                         InstancesRequest(),
+                                                                         InstancesMessage()}) {
+        traffic.record(message, ++bytes);
+    }
+    cr_assert(toText(traffic)
+              == "hello 1/1, call 1/2, response 1/3, cancel 1/4, void 1/5, status 1/6, configuration request 1/7, configuration 1/8, "
+                 "instances request 1/9, instances 1/10");
+}
