Decode the id of a ticket in one place, and drop a result that nobody reads

A ticket and a ticket's id begin alike and were decoded twice. Whether sendOnAnyConnection() found a connection was returned and never asked for.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -326,14 +326,11 @@
     });
 }
 
-bool LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
+void LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
 {
-    const auto connection = findConnection(instance);
-    if (connection == m_connections.end()) {
-        return false;
+    if (const auto connection = findConnection(instance); connection != m_connections.end()) {
+        sendOn(connection->first, connection->second, message);
     }
-    sendOn(connection->first, connection->second, message);
-    return true;
 }
 
 void LinkController::sendStatus(const InstanceId &instance)
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -81,9 +81,9 @@
     bool send(const InstanceId &instance, const PeerMessage &message);
     //! Sends over the connection on which a message was received, in response to it.
     void reply(ConnectionId connection, const PeerMessage &message);
-    //! Sends to an instance over its link or, if there is none, over a connection that it has opened. Returns false if there is
-    //! neither. For messages that need no response.
-    bool sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message);
+    //! Sends to an instance over its link or, if there is none, over a connection that it has opened; if there is neither, the
+    //! message is dropped. For messages that need no response.
+    void sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message);
     //! Sends the status of this node on all connections immediately, so that each of them acknowledges a drain.
     void broadcastStatus();
     //! Sends the status of this node to an instance, like sendOnAnyConnection().
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -117,12 +117,17 @@
     return elements;
 }
 
-TicketId decodeTicketId(const CborValue &value)
+//! Precondition: there are two elements at least.
+TicketId decodeTicketId(const std::vector<CborValue> &elements)
 {
-    const auto elements = decodeElements(value, 2);
     return {Incarnation(elements[0].unsignedNumber()), elements[1].unsignedNumber()};
 }
 
+TicketId decodeTicketId(const CborValue &value)
+{
+    return decodeTicketId(decodeElements(value, 2));
+}
+
 constexpr std::size_t ticketElements = 4;
 
 void encode(CborWriter &writer, const Ticket &ticket)
@@ -137,9 +142,7 @@
 Ticket decodeTicket(const CborValue &value)
 {
     const auto elements = decodeElements(value, ticketElements);
-    return {{Incarnation(elements[0].unsignedNumber()), elements[1].unsignedNumber()},
-            InstanceId(decodeText(elements[2])),
-            Incarnation(elements[3].unsignedNumber())};
+    return {decodeTicketId(elements), InstanceId(decodeText(elements[2])), Incarnation(elements[3].unsignedNumber())};
 }
 
 //! Encodes the method, the target, and the alternating names and values of the fields as an array.
