--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -1,3 +1,5 @@
+#include "endlessbytes.h"
+
 #include <chervilpaddle/transport/httpclient.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -72,7 +74,7 @@
             asio::write(*socket, asio::buffer(script.bytes));
             boost::system::error_code ignored;
             if (!script.endless.empty()) {
-                flood(socket, std::make_shared<std::string>(repeated(script.endless)));
+                flood(socket, std::make_shared<std::string>(tests::floodBlock(script.endless)));
                 return;
             }
             if (script.resets) {
@@ -86,15 +88,6 @@
         });
     }
 
-    static std::string repeated(const std::string &pattern)
-    {
-        std::string block;
-        while (block.size() < 65536) {
-            block += pattern;
-        }
-        return block;
-    }
-
     void flood(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &block)
     {
         asio::async_write(*socket, asio::buffer(*block), [this, socket, block](const boost::system::error_code &error, std::size_t bytes) {
@@ -221,14 +214,8 @@
 //! buffer them, and does not take them for a response or for proof that the request has not run.
 Test(httpclient, bytes_without_end_are_cut_off)
 {
-    struct Case
-    {
-        const char *description;
-        std::string start;
-        std::string endless;
-    };
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const Case cases[] = {
+    const tests::EndlessCase cases[] = {
         {"status line", "HTTP/1.1 200 ", "xyz"},
         {"no HTTP at all", "", "xyz"},
         {"empty lines", "", "\r\n"},
@@ -243,7 +230,7 @@
         {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
         {"responses to other requests", "", "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 3\r\n\r\nxyz"},
     };
-    for (const Case &testCase : cases) {
+    for (const tests::EndlessCase &testCase : cases) {
         std::size_t floodBytes = 0;
         const auto start = steadyClock()();
         const auto exchanges = exchange({{testCase.start, false, false, testCase.endless}}, {"a"}, nullptr, &floodBytes);
@@ -251,6 +238,6 @@
         cr_expect(exchanges[0].stage != HttpStage::Complete && exchanges[0].stage != HttpStage::NotSent, "%s", testCase.description);
         cr_expect(elapsed < std::chrono::seconds(4), "%s: given up only at the timeout", testCase.description);
         // Most of this lies in the buffers of the two sockets.
-        cr_expect_leq(floodBytes, 16U * 1024 * 1024, "%s: %zu bytes", testCase.description, floodBytes);
+        cr_expect_leq(floodBytes, tests::maxFloodBytes, "%s: %zu bytes", testCase.description, floodBytes);
     }
 }
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -1,6 +1,8 @@
+#include "endlessbytes.h"
+
 #include <chervilpaddle/transport/httpserver.h>
 
-#include <boost/asio/connect.hpp>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
@@ -13,15 +15,13 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::size_t floodLimit = 16U * 1024 * 1024;
-
 std::uint16_t freePort()
 {
     asio::io_context context;
     return tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
 }
 
-//! A server on a thread of its own that responds to each request with its number.
+//! A server on a thread of its own that counts the requests it handles.
 class CountingServer
 {
 public:
@@ -74,13 +74,10 @@
 //! Sends a pattern until the server closes the connection; returns how many bytes it took, at most the limit.
 std::size_t flood(tcp::socket &socket, const std::string &start, const std::string &pattern)
 {
-    std::string block;
-    while (block.size() < 65536) {
-        block += pattern;
-    }
+    const std::string block = tests::floodBlock(pattern);
     boost::system::error_code error;
     std::size_t sent = asio::write(socket, asio::buffer(start), error);
-    while (!error && sent < floodLimit) {
+    while (!error && sent < tests::maxFloodBytes) {
         sent += asio::write(socket, asio::buffer(block), error);
     }
     return sent;
@@ -99,14 +96,8 @@
 
 Test(httpserver, bytes_without_end_are_cut_off)
 {
-    struct Case
-    {
-        const char *description;
-        std::string start;
-        std::string endless;
-    };
     const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const Case cases[] = {
+    const tests::EndlessCase cases[] = {
         {"request line", "GET /", "xyz"},
         {"no HTTP at all", "", "\x01\x02"},
         {"empty lines", "", "\r\n"},
@@ -120,11 +111,11 @@
     };
     CountingServer server;
     asio::io_context context;
-    for (const Case &testCase : cases) {
+    for (const tests::EndlessCase &testCase : cases) {
         tcp::socket socket = server.connect(context);
         const std::size_t sent = flood(socket, testCase.start, testCase.endless);
         // Most of this lies in the buffers of the two sockets.
-        cr_expect_lt(sent, floodLimit, "%s: %zu bytes were taken", testCase.description, sent);
+        cr_expect_lt(sent, tests::maxFloodBytes, "%s: %zu bytes were taken", testCase.description, sent);
         cr_expect_eq(server.handled(), 0, "%s was taken for a request", testCase.description);
     }
     tcp::socket socket = server.connect(context);
