Wait until a killed process is gone before it starts again in the tests

Cause: process.platform_faults killed a node and started it again at once. Where the old process still held its addresses, the new one could not bind them and ended (code 4005), and five checks failed for it. The logs of all five failures kept show it. Change: kill_process waits for the end; the three scripts that kill nodes use it, and the one that waited by itself no longer does. All checks are the same.

--- a/tests/process/killed_and_frozen.sh
+++ b/tests/process/killed_and_frozen.sh
@@ -13,7 +13,7 @@
 } >"$work/faults.load"
 start_load faults
 pause 1
-stop_process node-aportes-1 KILL
+kill_process node-aportes-1
 pause 0.7
 start_node aportes-1
 stop_process node-pagos-2 STOP
@@ -21,7 +21,7 @@
 stop_process node-pagos-2 CONT
 stop_process node-aportes-2 STOP
 pause 0.8
-stop_process node-pagos-3 KILL
+kill_process node-pagos-3
 stop_process node-aportes-2 CONT
 pause 0.6
 start_node pagos-3
--- a/tests/process/mesh_stop.sh
+++ b/tests/process/mesh_stop.sh
@@ -7,8 +7,7 @@
 stop_process node-outer-1 HUP
 pause 0.5
 stop_process node-outer-1
-stop_process node-inner-2 KILL
-wait "${pid_of[node-inner-2]}" 2>/dev/null
+kill_process node-inner-2
 start_mesh_node inner-2
 wait "${pid_of[node-outer-1]}"
 check "the stopped node exited with status 0" [ $? -eq 0 ]
--- a/tests/process/platform_faults.sh
+++ b/tests/process/platform_faults.sh
@@ -12,7 +12,7 @@
 check "revision 2 is in force" until_true 10 all_at 2
 http POST "$platform_address" /control/fault down >/dev/null
 check "calls succeed while the platform is down" call saldos-2
-stop_process node-saldos-1 KILL
+kill_process node-saldos-1
 printf '[peers]\nseeds = %s, %s\n' "${peers_of[pagos-1]}" "${peers_of[aportes-3]}" >>"$work/saldos-1.ini"
 start_node saldos-1
 check "a new process gets its contracts from its peers" until_true 10 all_at 2
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -111,6 +111,12 @@
     kill -"${2:-TERM}" "${pid_of[$1]}" 2>/dev/null || true
 }
 
+# kill_process NAME: kills a process and waits until it is gone, as its addresses cannot be bound before.
+kill_process() {
+    stop_process "$1" KILL
+    wait "${pid_of[$1]}" 2>/dev/null || true
+}
+
 stop_cluster() {
     local name
     for name in "${!pid_of[@]}"; do [[ $name == node-* ]] && stop_process "$name"; done
