Report why each caller's connection ended

Change: the HTTP server tracks what a connection is doing and reports each end once: reason, error, phase, age, time since the last request, and the id of the request whose response is due. Nodes count all ends by reason, and log those that leave a request without a response or that the client did not ask for. No decision changes; the idle timeout becomes an option, so that a test can shorten it.

A new test checks the reason and phase of six kinds of end.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -184,6 +184,7 @@
         refuse(exchange, {}, ResultCode::Malformed, "request id missing or deadline invalid");
         return;
     }
+    exchange->setRequestId(incoming->request);
     if (m_routes->revision().value() == 0) {
         refuse(exchange, incoming->request, ResultCode::NoConfiguration, {});
         return;
@@ -196,6 +197,13 @@
     dispatch(exchange, *incoming, *route);
 }
 
+void MeshCore::handleClosedConnection(const ClosedConnection &closed)
+{
+    ++m_counters.closedConnections[static_cast<std::size_t>(closed.reason)];
+    m_counters.unansweredRequests += leavesRequestUnanswered(closed) ? 1 : 0;
+    logClosedConnection(m_log, closed);
+}
+
 void MeshCore::dispatch(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route)
 {
     const RouteTarget &target = m_trafficSplit.next(route);
@@ -226,9 +234,8 @@
     // The call may end before its id is stored; cancelling it on disconnect then has no effect.
     const auto call = std::make_shared<CallId>();
     *call = m_router->call(std::move(outbound), [this, pending](const CallResult &result) { completeRequest(pending, result); });
-    exchange->onDisconnect([this, call, request = incoming.request] {
+    exchange->onDisconnect([this, call] {
         ++m_counters.callerDisconnects;
-        m_log.debug({"caller disconnected", ResultCode::CancelledWhileRunning, request, {}});
         m_router->cancel(*call);
     });
 }
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -13,6 +13,7 @@
 #include <chervilpaddle/transport/httpserver.h>
 #include <chervilpaddle/transport/peertransport.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 
 namespace chervilpaddle {
@@ -27,6 +28,9 @@
     std::uint64_t callerDisconnects = 0;
     std::uint64_t overloaded = 0;
     std::uint64_t invalidInstanceEntries = 0;
+    //! Ended connections of callers by CloseReason, and how many of them left a request without a complete response.
+    std::array<std::uint64_t, closeReasonCount> closedConnections{};
+    std::uint64_t unansweredRequests = 0;
     //! Time from the arrival of a request to its response, by outcome.
     LatencyHistogram servedLatency;
     LatencyHistogram refusedLatency;
@@ -44,6 +48,8 @@
     std::error_code start();
     //! Handles a request of a caller or of the backend server beside this node.
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    //! Counts a caller's connection that has ended, and logs it if a request is left unanswered or the node ended it unasked.
+    void handleClosedConnection(const ClosedConnection &closed);
     //! Whether the configuration and the instances are known and no shutdown has started.
     bool isReady() const;
     //! Stops accepting work for the backend server beside this node. Requests of callers are still accepted if they can end
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -46,7 +46,7 @@
         , m_reload(std::move(reload))
         , m_log(settings.instance, settings.logFormat, settings.logLevel)
         , m_core(m_context, settings, m_protocol, m_log)
-        , m_callers({&m_context}, serverOptions(settings.callers, maxBodyBytes), [this](auto exchange) { m_core.handle(exchange); })
+        , m_callers({&m_context}, callersOptions(), [this](auto exchange) { m_core.handle(exchange); })
         , m_readiness(
               {&m_context}, serverOptions(settings.readiness, maxOperatorBodyBytes), [this](auto exchange) { handleReadiness(exchange); })
         , m_operators(
@@ -77,6 +77,13 @@
     }
 
 private:
+    HttpServer::Options callersOptions()
+    {
+        HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes);
+        options.connectionClosed = [this](const ClosedConnection &closed) { m_core.handleClosedConnection(closed); };
+        return options;
+    }
+
     std::error_code listenAll()
     {
         const std::pair<HttpServer *, const char *> servers[] = {
--- a/src/chervilpaddle/node/callersfrontend.cpp
+++ b/src/chervilpaddle/node/callersfrontend.cpp
@@ -32,6 +32,7 @@
 void CallersFrontend::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const auto request = std::make_shared<EntryRequest>(parse(*exchange));
+    exchange->setRequestId(request->request);
     if (request->operation.isEmpty() || request->request.value().size() > maxRequestIdLength) {
         refuse(exchange, *request, ResultCode::Malformed);
         return;
@@ -125,6 +126,7 @@
     request.operation = operationOf(exchange->request());
     request.payload = takePayload(*exchange);
     const RequestId id(exchange->request().headers.valueOr(headers::request, {}));
+    exchange->setRequestId(id);
     const auto call = std::make_shared<CallId>();
     boost::asio::post(m_coreContext, [this, exchange, request, id, call] {
         *call = m_core.startBackendCall(request, [exchange, id](const CallResult &result) { exchange->respond(makeResponse(result, id)); });
--- a/src/chervilpaddle/node/logging.cpp
+++ b/src/chervilpaddle/node/logging.cpp
@@ -104,4 +104,15 @@
     return text.substr(1, text.size() - 2);
 }
 
+void logClosedConnection(EventLog &log, const ClosedConnection &closed)
+{
+    const bool isOrdinary = closed.reason == CloseReason::ClientClosed || closed.reason == CloseReason::LastResponse;
+    if (leavesRequestUnanswered(closed)) {
+        const ResultCode code = closed.reason == CloseReason::ClientClosed ? ResultCode::CancelledWhileRunning : ResultCode::AnswerLost;
+        log.info({"caller's connection ended before the response", code, closed.openRequest, toText(closed)});
+    } else if (!isOrdinary) {
+        log.info({"caller's connection closed", ResultCode::Success, {}, toText(closed)});
+    }
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/logging.h
+++ b/src/chervilpaddle/node/logging.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
+#include <chervilpaddle/transport/closedconnection.h>
 
 #include <cstdint>
 #include <memory>
@@ -60,4 +61,7 @@
     InstanceId m_instance;
 };
 
+//! Logs the end of a caller's connection if it leaves a request unanswered or was not asked for by the client. Thread-safe.
+void logClosedConnection(EventLog &log, const ClosedConnection &closed);
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -72,8 +72,8 @@
         , m_core(m_coreLoop.context(), settings, m_log)
         , m_callersFrontend(m_coreLoop.context(), m_core, m_log)
         , m_egressFrontend(m_coreLoop.context(), m_core)
-        , m_callers(frontendContexts(), {settings.callers, maxBodyBytes}, [this](auto exchange) { m_callersFrontend.handle(exchange); })
-        , m_egress(frontendContexts(), {settings.egress, maxBodyBytes}, [this](auto exchange) { m_egressFrontend.handle(exchange); })
+        , m_callers(frontendContexts(), serverOptions(settings.callers), [this](auto exchange) { m_callersFrontend.handle(exchange); })
+        , m_egress(frontendContexts(), serverOptions(settings.egress), [this](auto exchange) { m_egressFrontend.handle(exchange); })
         , m_operators({&m_mainContext}, {settings.operators, maxOperatorBodyBytes}, [this](auto exchange) { handleOperator(exchange); })
         , m_signals(m_mainContext, SIGTERM, SIGINT)
         , m_timer(m_mainContext)
@@ -105,6 +105,15 @@
     }
 
 private:
+    HttpServer::Options serverOptions(const Endpoint &address)
+    {
+        HttpServer::Options options;
+        options.address = address;
+        options.maxBodyBytes = maxBodyBytes;
+        options.connectionClosed = [this](const ClosedConnection &closed) { logClosedConnection(m_log, closed); };
+        return options;
+    }
+
     std::vector<asio::io_context *> frontendContexts()
     {
         std::vector<asio::io_context *> contexts;
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -31,6 +31,15 @@
         counter("chervilpaddle_requests_failed_total", "Requests that may have run and have no answer", counters.failed);
         counter("chervilpaddle_requests_left_total", "Requests whose caller went away", counters.callerDisconnects);
         counter("chervilpaddle_unreadable_entries_total", "Entries of the platform that name no instance", counters.invalidInstanceEntries);
+        for (std::size_t reason = 0; reason < closeReasonCount; ++reason) {
+            counter("chervilpaddle_caller_connections_closed_total",
+                    "Connections of callers that ended",
+                    counters.closedConnections[reason],
+                    {{"reason", toText(static_cast<CloseReason>(reason))}});
+        }
+        counter("chervilpaddle_caller_requests_unanswered_total",
+                "Requests whose connection ended before the whole answer was sent",
+                counters.unansweredRequests);
         gauge("chervilpaddle_ready", "1 while callers may be sent here", core.isReady() ? 1 : 0);
         gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
         gauge("chervilpaddle_instances_revision",
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -23,7 +23,6 @@
 using asio::ip::tcp;
 
 constexpr auto receiveTimeout = std::chrono::seconds(10);
-constexpr auto idleTimeout = std::chrono::seconds(75);
 constexpr auto writeTimeout = std::chrono::seconds(30);
 
 //! State shared by all connections of a server.
@@ -102,8 +101,7 @@
     void respond(std::uint64_t exchange, HttpResponse response)
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
-            if (self->m_exchange == exchange && self->m_handling) {
-                self->m_handling = false;
+            if (self->m_exchange == exchange && self->m_phase == ConnectionPhase::Handling) {
                 self->write(std::move(response));
             }
         });
@@ -114,6 +112,11 @@
         m_disconnectHandler = std::move(handler);
     }
 
+    void setRequestId(const RequestId &request)
+    {
+        m_openRequest = request;
+    }
+
 private:
     void waitForRequest()
     {
@@ -122,10 +125,12 @@
             readHeader();
             return;
         }
-        m_idleTimer.expires_after(idleTimeout);
+        m_phase = ConnectionPhase::Idle;
+        m_openRequest = RequestId();
+        m_idleTimer.expires_after(m_state->options.idleTimeout);
         m_idleTimer.async_wait([self = shared_from_this()](beast::error_code error) {
             if (!error) {
-                self->close();
+                self->close(CloseReason::IdleTimeout);
             }
         });
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
@@ -138,6 +143,8 @@
 
     void readHeader()
     {
+        m_phase = ConnectionPhase::Receiving;
+        m_openRequest = RequestId();
         m_state->lastRead = std::chrono::steady_clock::now();
         m_parser.emplace();
         m_parser->header_limit(maxHeaderBytes);
@@ -150,14 +157,15 @@
 
     void readBody()
     {
+        m_lastRequestAt = std::chrono::steady_clock::now();
         const auto length = m_parser->content_length();
         const std::size_t expected = length ? static_cast<std::size_t>(*length) : (m_parser->chunked() ? m_state->options.maxBodyBytes : 0);
         if (expected > m_state->options.maxBodyBytes) {
-            reject(ResultCode::BodyTooLarge);
+            reject(ResultCode::BodyTooLarge, CloseReason::OverLimit);
             return;
         }
         if (!m_reservation.reserve(expected)) {
-            reject(ResultCode::Shed);
+            reject(ResultCode::Shed, CloseReason::OverLimit);
             return;
         }
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
@@ -168,17 +176,23 @@
     void handleReadError(beast::error_code error)
     {
         if (error == http::error::body_limit) {
-            reject(ResultCode::BodyTooLarge);
-        } else if (error == http::error::end_of_stream || error == beast::error::timeout
-                   || error.category() == asio::error::get_system_category() || error.category() == asio::error::get_misc_category()) {
-            close();
+            reject(ResultCode::BodyTooLarge, CloseReason::OverLimit);
+        } else if (error == http::error::end_of_stream) {
+            // Nothing of a further request has arrived.
+            m_phase = ConnectionPhase::Idle;
+            close(CloseReason::ClientClosed);
+        } else if (error == beast::error::timeout) {
+            close(CloseReason::ReceiveTimeout);
+        } else if (error.category() == asio::error::get_system_category() || error.category() == asio::error::get_misc_category()) {
+            close(CloseReason::ReadError, error);
         } else {
-            reject(ResultCode::Malformed);
+            reject(ResultCode::Malformed, CloseReason::Malformed);
         }
     }
 
-    void reject(ResultCode code)
+    void reject(ResultCode code, CloseReason reason)
     {
+        m_announcedReason = reason;
         const ResultCodeInfo &row = describe(code);
         HttpResponse response;
         response.status = row.httpStatus;
@@ -196,7 +210,7 @@
     {
         m_stream.expires_never();
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](beast::error_code error) {
-            if (!error && self->m_handling && self->m_exchange == exchange) {
+            if (!error && self->m_phase == ConnectionPhase::Handling && self->m_exchange == exchange) {
                 self->checkForDisconnect();
             }
         });
@@ -206,15 +220,15 @@
     {
         char byte = 0;
         const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const std::error_code error(received < 0 ? errno : 0, std::system_category());
         if (received > 0) {
             return; // The next request has already arrived; the client is still connected.
         }
-        if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        if (error == std::errc::resource_unavailable_try_again || error == std::errc::operation_would_block) {
             watchForDisconnect(); // Spurious wake-up.
             return;
         }
-        m_handling = false;
-        close();
+        close(error ? CloseReason::ReadError : CloseReason::ClientClosed, error);
         if (auto handler = std::move(m_disconnectHandler); handler) {
             handler();
         }
@@ -222,6 +236,7 @@
 
     void write(HttpResponse response)
     {
+        m_phase = ConnectionPhase::Responding;
         m_disconnectHandler = nullptr;
         m_response = std::make_unique<http::response<http::string_body>>();
         m_response->result(static_cast<unsigned>(response.status));
@@ -230,33 +245,65 @@
         }
         m_response->body() = std::move(response.body);
         const bool isKeepAliveRequested = m_parser && m_parser->is_header_done() && m_parser->get().keep_alive();
-        m_response->keep_alive(isKeepAliveRequested && !response.close && !m_state->closeAfterResponses);
+        if (!m_announcedReason && m_state->closeAfterResponses) {
+            m_announcedReason = CloseReason::Shutdown;
+        } else if (!m_announcedReason && (!isKeepAliveRequested || response.close)) {
+            m_announcedReason = CloseReason::LastResponse;
+        }
+        m_response->keep_alive(!m_announcedReason);
         m_response->prepare_payload();
         m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            const bool keepsOpen = !error && self->m_response->keep_alive();
             self->m_response.reset();
-            keepsOpen ? self->waitForRequest() : self->closeGracefully();
+            if (error) {
+                self->m_announcedReason = CloseReason::WriteError;
+            }
+            self->m_announcedReason ? self->closeGracefully(error) : self->waitForRequest();
         });
     }
 
     //! Half-closes the connection first, so that the client can read the response even while it is still sending.
-    void closeGracefully()
+    void closeGracefully(std::error_code reportedError)
     {
+        if (!reportedError) {
+            m_phase = ConnectionPhase::Closing;
+        }
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_idleTimer.expires_after(std::chrono::milliseconds(200));
-        m_idleTimer.async_wait([self = shared_from_this()](beast::error_code /*error*/) { self->close(); });
+        m_idleTimer.async_wait([self = shared_from_this(), reportedError](beast::error_code /*error*/) {
+            self->close(*self->m_announcedReason, reportedError);
+        });
     }
 
-    void close()
+    void close(CloseReason reason, std::error_code cause = {})
     {
+        report(reason, cause);
+        m_phase = ConnectionPhase::Closing;
         beast::error_code ignored;
         m_idleTimer.cancel();
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
     }
 
+    void report(CloseReason reason, std::error_code cause)
+    {
+        if (m_isReported || !m_state->options.connectionClosed) {
+            return;
+        }
+        m_isReported = true;
+        const auto now = std::chrono::steady_clock::now();
+        ClosedConnection closed;
+        closed.reason = reason;
+        closed.error = cause;
+        closed.age = std::chrono::duration_cast<Duration>(now - m_openedAt);
+        closed.sinceLastRequest = std::chrono::duration_cast<Duration>(now - m_lastRequestAt);
+        closed.requests = m_exchange;
+        closed.phase = m_phase;
+        closed.openRequest = m_openRequest;
+        m_state->options.connectionClosed(closed);
+    }
+
     beast::tcp_stream m_stream;
     asio::steady_timer m_idleTimer{m_stream.get_executor()};
     std::shared_ptr<ServerState> m_state;
@@ -265,8 +312,14 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
     std::function<void()> m_disconnectHandler;
+    const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
+    std::chrono::steady_clock::time_point m_lastRequestAt = m_openedAt;
+    //! Why the response that is being sent announces the close; empty if the connection stays open.
+    std::optional<CloseReason> m_announcedReason;
+    RequestId m_openRequest;
     std::uint64_t m_exchange = 0;
-    bool m_handling = false;
+    ConnectionPhase m_phase = ConnectionPhase::Idle;
+    bool m_isReported = false;
 };
 
 class SessionExchange : public HttpExchange
@@ -298,6 +351,10 @@
     {
         m_session->onDisconnect(std::move(handler));
     }
+    void setRequestId(const RequestId &request) override
+    {
+        m_session->setRequestId(request);
+    }
 
 private:
     std::shared_ptr<Session> m_session;
@@ -315,7 +372,7 @@
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
-    m_handling = true;
+    m_phase = ConnectionPhase::Handling;
     ++m_exchange;
     m_state->handler(std::make_shared<SessionExchange>(shared_from_this(), m_exchange, std::move(request)));
     watchForDisconnect();
@@ -387,10 +444,17 @@
 
     void startSession(tcp::socket socket)
     {
+        const auto executor = socket.get_executor();
         if (m_state->connections >= m_state->options.maxConnections) {
+            asio::post(executor, [state = m_state] {
+                if (state->options.connectionClosed) {
+                    ClosedConnection closed;
+                    closed.reason = CloseReason::OverLimit;
+                    state->options.connectionClosed(closed);
+                }
+            });
             return;
         }
-        const auto executor = socket.get_executor();
         asio::post(executor, [session = std::make_shared<Session>(std::move(socket), m_state)] { session->start(); });
     }
 
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/units.h>
 #include <chervilpaddle/controllers/instancelist.h>
+#include <chervilpaddle/transport/closedconnection.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,8 @@
     //! Sets a handler that runs on the connection's thread if the client disconnects before the response is sent.
     //! Must be called before the request handler returns.
     virtual void onDisconnect(std::function<void()> handler) = 0;
+    //! Names the request in the report of its connection's end. Must be called before the request handler returns.
+    virtual void setRequestId(const RequestId &request) = 0;
 };
 
 //! HTTP/1.1 server based on Boost.Beast. Limits the size of headers and bodies, the time to receive a request, the
@@ -42,6 +45,9 @@
         std::size_t maxBodyBytes = 0;
         std::size_t maxConnections = 1024;
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
+        std::chrono::milliseconds idleTimeout = std::chrono::seconds(75);
+        //! Called once for each connection that has ended, on the connection's thread.
+        std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
     };
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -4,8 +4,11 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <condition_variable>
 #include <criterion/criterion.h>
+#include <mutex>
 #include <thread>
 
 using namespace chervilpaddle;
@@ -25,9 +28,9 @@
 class CountingServer
 {
 public:
-    CountingServer()
+    explicit CountingServer(std::chrono::milliseconds idleTimeout = std::chrono::seconds(75))
         : m_address{"127.0.0.1", freePort()}
-        , m_server({&m_context}, options(), [this](const std::shared_ptr<HttpExchange> &exchange) {
+        , m_server({&m_context}, options(idleTimeout), [this](const std::shared_ptr<HttpExchange> &exchange) {
             ++m_handled;
             exchange->respond(textResponse(200, "text/plain", "ok"));
         })
@@ -55,18 +58,42 @@
         return m_handled;
     }
 
+    //! Ends of connections so far, in order.
+    std::vector<ClosedConnection> closed() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
+    //! Waits until this many connections have ended.
+    std::vector<ClosedConnection> waitForClosed(std::size_t count) const
+    {
+        std::unique_lock lock(m_mutex);
+        m_closedChanged.wait(lock, [this, count] { return m_closed.size() >= count; });
+        return m_closed;
+    }
+
 private:
-    HttpServer::Options options() const
+    HttpServer::Options options(std::chrono::milliseconds idleTimeout)
     {
         HttpServer::Options options;
         options.address = m_address;
         options.maxBodyBytes = 64 * kibibyte;
+        options.idleTimeout = idleTimeout;
+        options.connectionClosed = [this](const ClosedConnection &closed) {
+            const std::lock_guard lock(m_mutex);
+            m_closed.push_back(closed);
+            m_closedChanged.notify_all();
+        };
         return options;
     }
 
     Endpoint m_address;
     asio::io_context m_context;
     std::atomic<int> m_handled{0};
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_closedChanged;
+    std::vector<ClosedConnection> m_closed;
     HttpServer m_server;
     std::thread m_thread;
 };
@@ -83,15 +110,29 @@
     return sent;
 }
 
-std::string statusLineOf(tcp::socket &socket, const std::string &request)
+void send(tcp::socket &socket, const std::string &request)
 {
     boost::system::error_code error;
     asio::write(socket, asio::buffer(request), error);
+}
+
+//! Returns the status line of the next response, or an empty string if the connection ends without one.
+std::string receiveStatusLine(tcp::socket &socket)
+{
+    boost::system::error_code error;
     std::string response(256, '\0');
     response.resize(socket.read_some(asio::buffer(response), error));
     return response.substr(0, response.find('\r'));
 }
 
+std::string statusLineOf(tcp::socket &socket, const std::string &request)
+{
+    send(socket, request);
+    return receiveStatusLine(socket);
+}
+
+const std::string plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
 } // namespace
 
 Test(httpserver, bytes_without_end_are_cut_off)
@@ -121,3 +162,44 @@
     tcp::socket socket = server.connect(context);
     cr_assert(statusLineOf(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") == "HTTP/1.1 200 OK");
 }
+
+Test(httpserver, each_end_of_a_connection_is_reported_with_its_reason)
+{
+    struct Case
+    {
+        const char *description;
+        std::string bytes;
+        bool clientCloses;
+        CloseReason reason;
+        ConnectionPhase phase;
+    };
+    const Case cases[] = {
+        {"unused for the idle timeout", plainRequest, false, CloseReason::IdleTimeout, ConnectionPhase::Idle},
+        {"closed by the client", plainRequest, true, CloseReason::ClientClosed, ConnectionPhase::Idle},
+        {"closed by the client within a request", "GET / HT", true, CloseReason::Malformed, ConnectionPhase::Closing},
+        {"not a request", "nonsense\r\n\r\n", false, CloseReason::Malformed, ConnectionPhase::Closing},
+        {"body over the limit",
+         "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+         false,
+         CloseReason::OverLimit,
+         ConnectionPhase::Closing},
+        {"close asked for", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", false, CloseReason::LastResponse, ConnectionPhase::Closing},
+    };
+    for (const Case &testCase : cases) {
+        CountingServer server(std::chrono::milliseconds(200));
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        send(socket, testCase.bytes);
+        if (testCase.clientCloses) {
+            socket.shutdown(tcp::socket::shutdown_send);
+        }
+        boost::system::error_code error;
+        std::string received;
+        asio::read(socket, asio::dynamic_buffer(received), error);
+        const auto closed = server.waitForClosed(1);
+        cr_expect(closed[0].reason == testCase.reason && closed[0].phase == testCase.phase,
+                  "%s: %s",
+                  testCase.description,
+                  toText(closed[0]).c_str());
+    }
+}
