--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -4,10 +4,13 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <condition_variable>
 #include <criterion/criterion.h>
+#include <future>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -73,6 +76,18 @@
         return m_closed;
     }
 
+    //! Blocks the server's thread, after what is already queued, until `released` is ready. The returned future is ready as soon
+    //! as the thread is blocked.
+    std::future<void> block(std::shared_future<void> released)
+    {
+        const auto blocked = std::make_shared<std::promise<void>>();
+        asio::post(m_context, [blocked, released = std::move(released)] {
+            blocked->set_value();
+            released.wait();
+        });
+        return blocked->get_future();
+    }
+
 private:
     HttpServer::Options options(std::chrono::milliseconds idleTimeout)
     {
@@ -133,6 +148,33 @@
 
 const std::string plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+//! A server and a connection to it that has been used once and is idle, while the server's thread is blocked.
+struct BlockedServer
+{
+    explicit BlockedServer(std::chrono::milliseconds idleTimeout)
+        : server(idleTimeout)
+        , socket(server.connect(context))
+    {
+        statusLineOf(socket, plainRequest);
+        server.block(released.get_future().share()).wait();
+    }
+
+    CountingServer server;
+    asio::io_context context;
+    tcp::socket socket;
+    std::promise<void> released;
+};
+
+//! Returns a server whose thread was blocked before the idle timeout of its connection.
+std::unique_ptr<BlockedServer> blockBeforeIdleTimeout(std::chrono::milliseconds idleTimeout)
+{
+    auto blocked = std::make_unique<BlockedServer>(idleTimeout);
+    while (!blocked->server.closed().empty()) {
+        blocked->released.set_value();
+        blocked = std::make_unique<BlockedServer>(idleTimeout);
+    }
+    return blocked;
+}
 } // namespace
 
 Test(httpserver, bytes_without_end_are_cut_off)
@@ -203,3 +245,32 @@
                   toText(closed[0]).c_str());
     }
 }
+
+Test(httpserver, the_idle_timeout_does_not_close_a_connection_whose_request_has_arrived)
+{
+    struct Case
+    {
+        const char *description;
+        bool isNoticedBeforeTimeout;
+    };
+    const Case cases[] = {{"noticed before the timeout, read after it", true}, {"neither noticed nor read before the timeout", false}};
+    constexpr std::chrono::milliseconds idleTimeout(200);
+    for (const Case &testCase : cases) {
+        const auto blocked = blockBeforeIdleTimeout(idleTimeout);
+        send(blocked->socket, plainRequest);
+        std::promise<void> timeoutOver;
+        if (testCase.isNoticedBeforeTimeout) {
+            // Queued behind the poll of the sockets that notices the request.
+            blocked->server.block(timeoutOver.get_future().share());
+            blocked->released.set_value();
+        }
+        std::this_thread::sleep_for(2 * idleTimeout);
+        testCase.isNoticedBeforeTimeout ? timeoutOver.set_value() : blocked->released.set_value();
+        const std::string statusLine = receiveStatusLine(blocked->socket);
+        cr_expect(
+            statusLine == "HTTP/1.1 200 OK", "%s: '%s', %d handled", testCase.description, statusLine.c_str(), blocked->server.handled());
+        for (const ClosedConnection &closed : blocked->server.closed()) {
+            cr_expect(!leavesRequestUnanswered(closed), "%s: %s", testCase.description, toText(closed).c_str());
+        }
+    }
+}
