Drop completions that belong to an earlier phase of a connection

Cause: a completion that is already queued cannot be cancelled. The poll that notices a request queues its handler; while the thread does other work, or the process stands still, the idle timeout expires; the next poll queues the timer's handler behind the first. The first handler cancels the timer in vain and begins to read, the timer's handler closes the connection without looking what it is doing, and the read, which had already completed, hands on a request whose connection is closed. Nobody is left to cancel it.

Change: each operation of a connection belongs to one phase (idle, receiving, handling, responding, closing). Its completion does nothing if the connection has entered another phase, so that neither a late timer closes a connection in use nor a late read hands on a request of a closed one. An idle timeout that finds input leaves the connection to the read that is about to begin. Ruled out: checking the state in the idle timer's handler alone, as the same holds for reads, writes and the watch for a disconnect.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <chervilpaddle/base/units.h>
 #include <chervilpaddle/transport/httpserver.h>
+#include <chervilpaddle/transport/pendinginput.h>
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -7,11 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <chervilpaddle/base/resultcode.h>
 #include <chrono>
 #include <optional>
-#include <sys/socket.h>
 
 namespace chervilpaddle {
 
@@ -118,6 +117,24 @@
     }
 
 private:
+    void enter(ConnectionPhase phase)
+    {
+        m_phase = phase;
+        ++m_step;
+    }
+
+    //! Wraps the handler of an operation that belongs to the current phase. A handler that is already queued cannot be cancelled, so
+    //! it does nothing if the connection has entered another phase by the time it runs.
+    template<typename Handler>
+    auto unlessSuperseded(Handler handler)
+    {
+        return [self = shared_from_this(), step = m_step, handler = std::move(handler)](beast::error_code error, auto... /*bytes*/) {
+            if (self->m_step == step) {
+                handler(error);
+            }
+        };
+    }
+
     void waitForRequest()
     {
         m_reservation.release();
@@ -125,34 +142,47 @@
             readHeader();
             return;
         }
-        m_phase = ConnectionPhase::Idle;
+        enter(ConnectionPhase::Idle);
         m_openRequest = RequestId();
         m_idleTimer.expires_after(m_state->options.idleTimeout);
-        m_idleTimer.async_wait([self = shared_from_this()](beast::error_code error) {
-            if (!error) {
-                self->close(CloseReason::IdleTimeout);
-            }
-        });
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-            self->m_idleTimer.cancel();
-            if (!error) {
-                self->readHeader();
-            }
-        });
+        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { handleIdleTimeout(); }));
+        m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this](beast::error_code error) {
+                                         error ? close(CloseReason::ReadError, error) : readHeader();
+                                     }));
+    }
+
+    //! A request that has arrived is served, though it is noticed only after the timeout: the wait for input is about to end.
+    void handleIdleTimeout()
+    {
+        std::error_code error;
+        switch (peekInput(m_stream.socket().native_handle(), error)) {
+        case PendingInput::Bytes:
+            break;
+        case PendingInput::None:
+            close(CloseReason::IdleTimeout);
+            break;
+        case PendingInput::EndOfStream:
+            close(CloseReason::ClientClosed);
+            break;
+        case PendingInput::Error:
+            close(CloseReason::ReadError, error);
+            break;
+        }
     }
 
     void readHeader()
     {
-        m_phase = ConnectionPhase::Receiving;
+        enter(ConnectionPhase::Receiving);
+        m_idleTimer.cancel();
         m_openRequest = RequestId();
         m_state->lastRead = std::chrono::steady_clock::now();
         m_parser.emplace();
         m_parser->header_limit(maxHeaderBytes);
         m_parser->body_limit(m_state->options.maxBodyBytes);
         m_stream.expires_after(receiveTimeout);
-        http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            error ? self->handleReadError(error) : self->readBody();
-        });
+        http::async_read_header(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
+                                    error ? handleReadError(error) : readBody();
+                                }));
     }
 
     void readBody()
@@ -168,9 +198,9 @@
             reject(ResultCode::Shed, CloseReason::OverLimit);
             return;
         }
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            error ? self->handleReadError(error) : self->handleRequest();
-        });
+        http::async_read(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
+                             error ? handleReadError(error) : handleRequest();
+                         }));
     }
 
     void handleReadError(beast::error_code error)
@@ -179,7 +209,7 @@
             reject(ResultCode::BodyTooLarge, CloseReason::OverLimit);
         } else if (error == http::error::end_of_stream) {
             // Nothing of a further request has arrived.
-            m_phase = ConnectionPhase::Idle;
+            enter(ConnectionPhase::Idle);
             close(CloseReason::ClientClosed);
         } else if (error == beast::error::timeout) {
             close(CloseReason::ReceiveTimeout);
@@ -209,26 +239,34 @@
     void watchForDisconnect()
     {
         m_stream.expires_never();
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](beast::error_code error) {
-            if (!error && self->m_phase == ConnectionPhase::Handling && self->m_exchange == exchange) {
-                self->checkForDisconnect();
-            }
-        });
+        m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this](beast::error_code error) {
+                                         if (!error) {
+                                             checkForDisconnect();
+                                         }
+                                     }));
     }
 
     void checkForDisconnect()
     {
-        char byte = 0;
-        const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const std::error_code error(received < 0 ? errno : 0, std::system_category());
-        if (received > 0) {
-            return; // The next request has already arrived; the client is still connected.
-        }
-        if (error == std::errc::resource_unavailable_try_again || error == std::errc::operation_would_block) {
+        std::error_code error;
+        switch (peekInput(m_stream.socket().native_handle(), error)) {
+        case PendingInput::Bytes:
+            break; // The next request has already arrived; the client is still connected.
+        case PendingInput::None:
             watchForDisconnect(); // Spurious wake-up.
-            return;
+            break;
+        case PendingInput::EndOfStream:
+            abandonExchange(CloseReason::ClientClosed, {});
+            break;
+        case PendingInput::Error:
+            abandonExchange(CloseReason::ReadError, error);
+            break;
         }
-        close(error ? CloseReason::ReadError : CloseReason::ClientClosed, error);
+    }
+
+    void abandonExchange(CloseReason reason, std::error_code cause)
+    {
+        close(reason, cause);
         if (auto handler = std::move(m_disconnectHandler); handler) {
             handler();
         }
@@ -236,7 +274,7 @@
 
     void write(HttpResponse response)
     {
-        m_phase = ConnectionPhase::Responding;
+        enter(ConnectionPhase::Responding);
         m_disconnectHandler = nullptr;
         m_response = std::make_unique<http::response<http::string_body>>();
         m_response->result(static_cast<unsigned>(response.status));
@@ -253,33 +291,30 @@
         m_response->keep_alive(!m_announcedReason);
         m_response->prepare_payload();
         m_stream.expires_after(writeTimeout);
-        http::async_write(m_stream, *m_response, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            self->m_response.reset();
-            if (error) {
-                self->m_announcedReason = CloseReason::WriteError;
-            }
-            self->m_announcedReason ? self->closeGracefully(error) : self->waitForRequest();
-        });
+        http::async_write(m_stream, *m_response, unlessSuperseded([this](beast::error_code error) {
+                              m_response.reset();
+                              if (error) {
+                                  close(CloseReason::WriteError, error);
+                              } else {
+                                  m_announcedReason ? closeGracefully() : waitForRequest();
+                              }
+                          }));
     }
 
     //! Half-closes the connection first, so that the client can read the response even while it is still sending.
-    void closeGracefully(std::error_code reportedError)
+    void closeGracefully()
     {
-        if (!reportedError) {
-            m_phase = ConnectionPhase::Closing;
-        }
+        enter(ConnectionPhase::Closing);
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_idleTimer.expires_after(std::chrono::milliseconds(200));
-        m_idleTimer.async_wait([self = shared_from_this(), reportedError](beast::error_code /*error*/) {
-            self->close(*self->m_announcedReason, reportedError);
-        });
+        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { close(*m_announcedReason); }));
     }
 
     void close(CloseReason reason, std::error_code cause = {})
     {
         report(reason, cause);
-        m_phase = ConnectionPhase::Closing;
+        enter(ConnectionPhase::Closing);
         beast::error_code ignored;
         m_idleTimer.cancel();
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -319,6 +354,8 @@
     RequestId m_openRequest;
     std::uint64_t m_exchange = 0;
     ConnectionPhase m_phase = ConnectionPhase::Idle;
+    //! Number of phases entered so far.
+    std::uint64_t m_step = 0;
     bool m_isReported = false;
 };
 
@@ -372,7 +409,7 @@
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
-    m_phase = ConnectionPhase::Handling;
+    enter(ConnectionPhase::Handling);
     ++m_exchange;
     m_state->handler(std::make_shared<SessionExchange>(shared_from_this(), m_exchange, std::move(request)));
     watchForDisconnect();
