Announce an idle time that ends before the idle timeout

Callers could see: a request on a connection that has been idle for just 75 s crosses the server's close, and may not be repeated. The two ends did not agree when a connection ends: the server closed after 75 s and said so nowhere, while clients heed Keep-Alive.

Change: responses that keep the connection open carry Keep-Alive with the idle timeout less ten seconds. A client that heeds it has stopped using the connection long before the server closes it, also after a pause of either.

The test failed before: no response had the field.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -2,6 +2,7 @@
 #include <chervilpaddle/transport/httpserver.h>
 #include <chervilpaddle/transport/pendinginput.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -23,6 +24,8 @@
 
 constexpr auto receiveTimeout = std::chrono::seconds(10);
 constexpr auto writeTimeout = std::chrono::seconds(30);
+//! Time from the end of the announced idle time until an idle connection is closed.
+constexpr auto idleCloseMargin = std::chrono::seconds(10);
 
 //! State shared by all connections of a server.
 struct ServerState
@@ -289,6 +292,9 @@
             m_announcedReason = CloseReason::LastResponse;
         }
         m_response->keep_alive(!m_announcedReason);
+        if (const auto idleTime = announcedIdleTime(m_state->options.idleTimeout); !m_announcedReason && idleTime.count() > 0) {
+            m_response->set(http::field::keep_alive, "timeout=" + std::to_string(idleTime.count()));
+        }
         m_response->prepare_payload();
         m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response, unlessSuperseded([this](beast::error_code error) {
@@ -516,6 +522,11 @@
     std::shared_ptr<ServerState> m_state;
 };
 
+std::chrono::seconds announcedIdleTime(std::chrono::milliseconds idleTimeout)
+{
+    return std::max(std::chrono::seconds::zero(), std::chrono::duration_cast<std::chrono::seconds>(idleTimeout - idleCloseMargin));
+}
+
 HttpServer::HttpServer(std::vector<boost::asio::io_context *> contexts, Options options, Handler handler)
     : m_impl(std::make_shared<Impl>(std::move(contexts), std::move(options), std::move(handler)))
 {
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -33,6 +33,11 @@
     virtual void setRequestId(const RequestId &request) = 0;
 };
 
+//! Returns the idle time in whole seconds that responses announce in Keep-Alive: short enough that a request sent within it arrives
+//! before a server with this idle timeout closes the connection, also if either of them or the network was held up. Zero: none is
+//! announced, as the timeout leaves no time. Thread-safe.
+std::chrono::seconds announcedIdleTime(std::chrono::milliseconds idleTimeout);
+
 //! HTTP/1.1 server based on Boost.Beast. Limits the size of headers and bodies, the time to receive a request, the
 //! number of connections and the total memory for bodies. Connections are distributed over the given contexts; each
 //! context must be run by a single thread.
@@ -45,6 +50,7 @@
         std::size_t maxBodyBytes = 0;
         std::size_t maxConnections = 1024;
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
+        //! Connections without a request for this long are closed. Clients are told a shorter time, see announcedIdleTime().
         std::chrono::milliseconds idleTimeout = std::chrono::seconds(75);
         //! Called once for each connection that has ended, on the connection's thread.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -131,12 +131,19 @@
     asio::write(socket, asio::buffer(request), error);
 }
 
-//! Returns the status line of the next response, or an empty string if the connection ends without one.
-std::string receiveStatusLine(tcp::socket &socket)
+//! Returns what the server sends next, or an empty string if the connection ends.
+std::string receive(tcp::socket &socket)
 {
     boost::system::error_code error;
     std::string response(256, '\0');
     response.resize(socket.read_some(asio::buffer(response), error));
+    return response;
+}
+
+//! Returns the status line of the next response, or an empty string if the connection ends without one.
+std::string receiveStatusLine(tcp::socket &socket)
+{
+    const std::string response = receive(socket);
     return response.substr(0, response.find('\r'));
 }
 
@@ -274,3 +281,28 @@
         }
     }
 }
+
+Test(httpserver, clients_are_told_to_stop_using_a_connection_before_the_idle_timeout_closes_it)
+{
+    struct Case
+    {
+        std::chrono::milliseconds idleTimeout;
+        std::string request;
+        std::string announced;
+    };
+    const Case cases[] = {
+        {std::chrono::seconds(75), plainRequest, "timeout=65"},
+        {std::chrono::milliseconds(11'900), plainRequest, "timeout=1"},
+        {std::chrono::seconds(10), plainRequest, ""},
+        {std::chrono::seconds(75), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", ""},
+    };
+    for (const Case &testCase : cases) {
+        CountingServer server(testCase.idleTimeout);
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        send(socket, testCase.request);
+        const std::string response = receive(socket);
+        const std::string field = testCase.announced.empty() ? "Keep-Alive:" : "Keep-Alive: " + testCase.announced + "\r\n";
+        cr_expect_eq(response.find(field) == std::string::npos, testCase.announced.empty(), "%s", response.c_str());
+    }
+}
