Believe a backend server's response only if it names the request

Report from an operator of a similar system: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told "not run" of requests that had run or were running.

It could happen here in two ways: - A response without a request id was taken for the present request's, a refusal as well as an answer. - A refusal bears the id of the present request where the same request is sent again on the connection on which it was refused. The router does not choose an instance twice under the full policy; the policies without an allowance do, and so may a caller's own id.

A connection carries no request twice; it remembers the ids of what it carried as hashes and is replaced after 1,024 requests, so that different refusals do not cost connections (1,500 refusals: 2 connections). The bytes waiting on a connection before its reuse are looked at by peekInput().

The hook that compared two header lists is replaced by the name of the header: HttpClient needs the id itself to remember it. The check of the hook in tests/platform/decoders.cpp is replaced by the one of the forwarded id there and by the table in tests/mesh/meshbackend.cpp, which is stricter.

Ruled out: bytes with another id, before or after an interim response, were already skipped.

--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -86,7 +86,7 @@
          "RepeatUndecided",
          "The node refused a repeat; whether an earlier attempt ran, only its executor can say.",
          503},
-        {ResultCode::AnswerUnverified, "AnswerUnverified", "The answer lacks the proof that the backend server made it.", 502},
+        {ResultCode::AnswerUnverified, "AnswerUnverified", "The answer lacks the proof that the backend server made it for this call.", 502},
         {ResultCode::SettingsUnreadable, "SettingsUnreadable", "The settings file cannot be read.", 0},
         {ResultCode::SettingUnknown, "SettingUnknown", "The settings hold a key that is not known.", 0},
         {ResultCode::SettingMissing, "SettingMissing", "A required setting is missing.", 0},
--- a/src/chervilpaddle/mesh/meshbackend.cpp
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -21,7 +21,8 @@
     options.connectTimeout = connectTimeout;
     options.maxIdleTime = maxIdleTime;
     options.acceptsCloseDelimitedBodies = true;
-    options.isMatchingResponse = protocol.isMatchingResponse;
+    options.requestIdHeader = protocol.requestIdHeader;
+    options.requiresRequestId = true;
     return options;
 }
 
--- a/src/chervilpaddle/mesh/platformprotocol.h
+++ b/src/chervilpaddle/mesh/platformprotocol.h
@@ -37,8 +37,8 @@
     std::function<std::optional<IncomingCall>(HttpRequest &request, const ServiceName &origin)> parseCall;
     //! Builds the request to the backend server.
     std::function<HttpRequest(const CallMessage &call, Duration remaining)> backendRequest;
-    //! Whether a response of the backend server belongs to the request.
-    std::function<bool(const HttpRequest &, const HttpHeaders &)> isMatchingResponse;
+    //! Header that identifies a request; each response of a backend server repeats it.
+    std::string requestIdHeader;
     //! Derives result code and payload from the backend server's response.
     std::function<BackendResult(HttpResult &)> backendResult;
     //! Builds the response to the caller. `retryAfter` is the delay after which a call that has not run may be sent again.
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -1,14 +1,16 @@
 #include <chervilpaddle/transport/httpclient.h>
 
+#include <chervilpaddle/base/random.h>
 #include <chervilpaddle/base/units.h>
+#include <chervilpaddle/transport/pendinginput.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <optional>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
 
@@ -26,6 +28,15 @@
 constexpr Duration idleMargin = std::chrono::seconds(1);
 //! Number of responses to earlier requests that are skipped before a connection is closed.
 constexpr int maxSkippedResponses = 3;
+//! Bounds the memory for the ids of the requests that a connection has carried.
+constexpr std::size_t maxRequestsPerConnection = 1024;
+
+//! Which request a response belongs to.
+enum class ResponseOrigin {
+    ThisRequest,
+    OtherRequest,
+    Unknown,
+};
 
 //! Returns the idle timeout that a Keep-Alive field announces.
 std::optional<Duration> announcedIdleTimeout(const http::fields &fields)
@@ -57,11 +68,19 @@
 
     bool isUsable()
     {
-        char byte = 0;
-        const bool hasNoPendingData =
-            ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
         const bool isWithinIdleLimit = std::chrono::steady_clock::now() - m_idleSince < m_maxIdleTime;
-        return isWithinIdleLimit && m_stream.socket().is_open() && hasNoPendingData && m_buffer.size() == 0;
+        if (!isWithinIdleLimit || !m_stream.socket().is_open() || m_buffer.size() != 0) {
+            return false;
+        }
+        std::error_code error;
+        return peekInput(m_stream.socket().native_handle(), error) == PendingInput::None;
+    }
+
+    //! A second response to a request cannot be told from the response to the same request sent again.
+    bool hasCarried(const HttpRequest &request) const
+    {
+        const std::string *id = findRequestId(request);
+        return id != nullptr && std::find(m_carriedIds.begin(), m_carriedIds.end(), stableHash(*id)) != m_carriedIds.end();
     }
 
     void connectAndSend(HttpRequest request, Duration timeout, CompletionHandler completionHandler)
@@ -113,6 +132,9 @@
         m_request.body() = std::move(request.body);
         m_request.prepare_payload();
         m_sentRequest = std::move(request);
+        if (const std::string *id = findRequestId(m_sentRequest); id != nullptr) {
+            m_carriedIds.push_back(stableHash(*id));
+        }
         resetParser();
     }
 
@@ -157,19 +179,23 @@
             result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
         } else {
             HttpResponse response = takeResponse();
-            const bool isExpected = !isInterim() && isForThisRequest(response);
+            const ResponseOrigin origin = originOf(response);
+            const bool isExpected = !isInterim() && origin != ResponseOrigin::OtherRequest;
             if (!isExpected && maySkipResponse()) {
                 resetParser();
                 read();
                 return;
             }
-            const bool isWhole = isExpected && (m_options.acceptsCloseDelimitedBodies || !isCloseDelimited());
-            result.stage = isWhole ? HttpStage::Complete : HttpStage::Truncated;
-            if (isWhole) {
+            if (!isExpected || !hasVerifiableEnd()) {
+                result.stage = HttpStage::Truncated;
+            } else if (origin == ResponseOrigin::Unknown) {
+                result.stage = HttpStage::Unidentified;
+            } else {
+                result.stage = HttpStage::Complete;
                 result.response = std::move(response);
             }
         }
-        m_reusable = result.stage == HttpStage::Complete && !m_writing && m_parser->get().keep_alive();
+        m_reusable = result.stage == HttpStage::Complete && mayReuseAfter(result.response);
         if (m_reusable) {
             const auto announced = announcedIdleTimeout(m_parser->get());
             m_maxIdleTime = std::min(m_options.maxIdleTime, announced ? *announced - idleMargin : m_options.maxIdleTime);
@@ -184,9 +210,35 @@
         return http::to_status_class(m_parser->get().result()) == http::status_class::informational;
     }
 
-    bool isForThisRequest(const HttpResponse &response) const
+    //! Returns the id that the server repeats in its responses to the request, or nullptr if there is none.
+    const std::string *findRequestId(const HttpRequest &request) const
+    {
+        return m_options.requestIdHeader.empty() ? nullptr : request.headers.find(m_options.requestIdHeader);
+    }
+
+    ResponseOrigin originOf(const HttpResponse &response) const
+    {
+        const std::string *id = findRequestId(m_sentRequest);
+        if (id == nullptr) {
+            return ResponseOrigin::ThisRequest;
+        }
+        bool namesThis = false;
+        bool namesOther = false;
+        for (const auto &[name, value] : response.headers.fields()) {
+            if (beast::iequals(name, m_options.requestIdHeader) && !value.empty()) {
+                (value == *id ? namesThis : namesOther) = true;
+            }
+        }
+        if (namesThis != namesOther) {
+            return namesThis ? ResponseOrigin::ThisRequest : ResponseOrigin::OtherRequest;
+        }
+        return namesThis || m_options.requiresRequestId ? ResponseOrigin::Unknown : ResponseOrigin::ThisRequest;
+    }
+
+    bool mayReuseAfter(const HttpResponse &response) const
     {
-        return !m_options.isMatchingResponse || m_options.isMatchingResponse(m_sentRequest, response.headers);
+        return !m_writing && !m_cancelled && m_parser->get().keep_alive() && m_carriedIds.size() < maxRequestsPerConnection
+            && (!m_options.mayReuseAfter || m_options.mayReuseAfter(response));
     }
 
     bool maySkipResponse()
@@ -202,6 +254,11 @@
         return !hasNoBody && !m_parser->chunked() && !m_parser->content_length();
     }
 
+    bool hasVerifiableEnd() const
+    {
+        return m_options.acceptsCloseDelimitedBodies || !isCloseDelimited();
+    }
+
     HttpResponse takeResponse()
     {
         auto &message = m_parser->get();
@@ -238,6 +295,7 @@
     int m_skippedResponses = 0;
     //! The request without its body, to check whether a response belongs to it.
     HttpRequest m_sentRequest;
+    std::vector<std::uint64_t> m_carriedIds;
     Duration m_maxIdleTime = m_options.maxIdleTime;
     std::chrono::steady_clock::time_point m_idleSince;
 };
@@ -264,7 +322,7 @@
             }
             callback(std::move(result));
         };
-        if (auto connection = takeIdleConnection(); connection) {
+        if (auto connection = takeIdleConnection(request); connection) {
             m_active[number] = connection;
             connection->send(std::move(request), timeout, std::move(completionHandler));
             return number;
@@ -283,12 +341,16 @@
     }
 
 private:
-    std::shared_ptr<Connection> takeIdleConnection()
+    std::shared_ptr<Connection> takeIdleConnection(const HttpRequest &request)
     {
-        while (!m_idle.empty()) {
-            auto connection = m_idle.back();
-            m_idle.pop_back();
-            if (connection->isUsable()) {
+        for (std::size_t i = m_idle.size(); i-- > 0;) {
+            const auto connection = m_idle[i];
+            const bool isUsable = connection->isUsable();
+            if (isUsable && connection->hasCarried(request)) {
+                continue;
+            }
+            m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
+            if (isUsable) {
                 return connection;
             }
         }
@@ -316,6 +378,8 @@
         return ResultCode::AnswerTruncated;
     case HttpStage::TooLarge:
         return ResultCode::AnswerTooLarge;
+    case HttpStage::Unidentified:
+        return ResultCode::AnswerUnverified;
     case HttpStage::Complete:
         break;
     }
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace chervilpaddle {
 
@@ -19,6 +20,7 @@
     Sent, //!< The request may have reached the server; no response was received.
     Truncated, //!< The response is truncated or malformed, or its end cannot be determined.
     TooLarge, //!< The response exceeds the size limit.
+    Unidentified, //!< A response was received that may belong to an earlier request.
     Complete, //!< The complete response was received.
 };
 
@@ -50,8 +52,13 @@
         Duration maxIdleTime = std::chrono::seconds(60);
         //! Treats a response without a length as complete if the server closes the connection in an orderly way.
         bool acceptsCloseDelimitedBodies = false;
-        //! Returns whether a response belongs to the request; responses that do not are skipped. If not set, all are accepted.
-        std::function<bool(const HttpRequest &, const HttpHeaders &)> isMatchingResponse = nullptr;
+        //! Name of the header that identifies a request and that the server repeats in its responses; empty if there is none.
+        //! Responses to other requests are skipped, and no connection carries the same request twice.
+        std::string requestIdHeader = {};
+        //! Treats a response that does not repeat the request's id as unidentified. If not set, it is taken for the request's.
+        bool requiresRequestId = false;
+        //! Returns whether the connection may be reused after a complete response. If not set, it always may.
+        std::function<bool(const HttpResponse &)> mayReuseAfter = nullptr;
     };
     using Callback = std::function<void(HttpResult)>;
 
--- a/standins/plainbackend.cpp
+++ b/standins/plainbackend.cpp
@@ -57,6 +57,7 @@
         HttpResponse response;
         response.status = work->request.empty() ? 400 : 421;
         response.headers.add("Not-Executed", "1");
+        response.headers.add("Request-Id", work->request);
         exchange->respond(std::move(response));
         return;
     }
--- /dev/null
+++ b/tests/mesh/meshbackend.cpp
@@ -0,0 +1,147 @@
+#include "../transport/scriptedserver.h"
+
+#include <chervilpaddle/mesh/meshbackend.h>
+#include <platform/platformprotocol.h>
+
+#include <criterion/criterion.h>
+#include <optional>
+#include <vector>
+
+using namespace chervilpaddle;
+using tests::Script;
+using tests::ScriptedServer;
+
+namespace {
+
+namespace asio = boost::asio;
+
+struct Results
+{
+    std::vector<BackendResult> backend;
+    int connections = 0;
+};
+
+//! Runs one call per request id, sequentially, at a backend server that follows the scripts.
+Results run(const std::vector<Script> &scripts, const std::vector<std::string> &ids, Duration deadline = std::chrono::seconds(5))
+{
+    asio::io_context context;
+    ScriptedServer server(context, scripts);
+    const PlatformProtocol protocol = platform::platformProtocol();
+    Results results;
+    std::function<void()> next;
+    MeshBackend backend(context, server.address(), protocol, steadyClock(), [&](RunId /*id*/, const BackendResult &result) {
+        results.backend.push_back(result);
+        next();
+    });
+    next = [&] {
+        if (results.backend.size() == ids.size()) {
+            context.stop();
+            return;
+        }
+        HttpHead head{"POST", "/pay/x", {{"Host", "h.example"}, {"Request-Id", ids[results.backend.size()]}}};
+        Run run;
+        run.id = RunId(results.backend.size() + 1);
+        run.deadline = steadyClock()() + deadline;
+        run.call.payload.head = std::make_shared<const HttpHead>(std::move(head));
+        backend.start(run);
+    };
+    next();
+    context.run();
+    results.connections = server.connections();
+    return results;
+}
+
+std::string refusal(const std::string &fields, const char *status = "503 Service Unavailable\r\nNot-Executed: 1")
+{
+    return "HTTP/1.1 " + std::string(status) + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
+}
+
+std::string answer(const std::string &fields, const std::string &body = "one")
+{
+    return "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string idOfA = "Request-Id: a\r\n";
+const std::string idOfB = "Request-Id: b\r\n";
+
+} // namespace
+
+//! A backend server may send an earlier refusal once more. Only the id tells whether it refuses the present request.
+Test(meshbackend, a_response_is_believed_only_if_it_names_the_request)
+{
+    struct Case
+    {
+        const char *description;
+        //! Response to the request b, on a connection that has carried a refusal of the request a.
+        std::string response;
+        ResultCode expected;
+        int connections;
+    };
+    const Case cases[] = {
+        {"a refusal", refusal(idOfB), ResultCode::BackendRefused, 1},
+        {"an answer", answer(idOfB), ResultCode::Done, 1},
+        {"a refusal without an id", refusal(""), ResultCode::AnswerUnverified, 2},
+        {"a refusal with an empty id", refusal("Request-Id:\r\n"), ResultCode::AnswerUnverified, 2},
+        {"a misdirected request without an id", refusal("", "421 Misdirected Request"), ResultCode::AnswerUnverified, 2},
+        {"a refusal without an id, then the answer", refusal("") + answer(idOfB), ResultCode::AnswerUnverified, 2},
+        {"a refusal without an id, after an interim response", interim + refusal(""), ResultCode::AnswerUnverified, 2},
+        {"a refusal, after an interim response", interim + refusal(idOfB), ResultCode::BackendRefused, 1},
+        {"an interim response that says not run, then the answer",
+         "HTTP/1.1 100 Continue\r\nNot-Executed: 1\r\n\r\n" + answer(idOfB),
+         ResultCode::Done,
+         1},
+        {"an answer without an id", answer(""), ResultCode::AnswerUnverified, 2},
+        {"a failure without an id", refusal("", "500 Internal Server Error"), ResultCode::AnswerUnverified, 2},
+        {"an earlier refusal only", refusal(idOfA), ResultCode::DeadlineWhileRunning, 2},
+        {"an earlier misdirected request only", refusal(idOfA, "421 Misdirected Request"), ResultCode::DeadlineWhileRunning, 2},
+        {"an earlier refusal, then the answer", refusal(idOfA) + answer(idOfB), ResultCode::Done, 1},
+        {"an earlier refusal that ends the connection", refusal(idOfA + "Connection: close\r\n"), ResultCode::AnswerTruncated, 2},
+        {"an earlier refusal, after an interim response", interim + refusal(idOfA) + answer(idOfB), ResultCode::Done, 1},
+        {"a refusal that names both requests", refusal(idOfA + idOfB), ResultCode::AnswerUnverified, 2},
+        {"a refusal that names both requests, the present one first", refusal(idOfB + idOfA), ResultCode::AnswerUnverified, 2},
+    };
+    for (const Case &c : cases) {
+        const Results results =
+            run({{refusal(idOfA)}, {c.response}, {answer("Request-Id: c\r\n")}}, {"a", "b", "c"}, std::chrono::milliseconds(50));
+        cr_expect_eq(results.backend[0].code, ResultCode::BackendRefused, "%s", c.description);
+        const ResultCode code = results.backend[1].code;
+        cr_expect_eq(code, c.expected, "%s: %s", c.description, describe(code).name);
+        cr_expect_eq(results.backend[2].code, ResultCode::Done, "%s: then %s", c.description, describe(results.backend[2].code).name);
+        cr_expect_eq(results.connections, c.connections, "%s: %d connections", c.description, results.connections);
+    }
+}
+
+//! An earlier refusal of the same request bears the right id, so only the connection tells it from a new one.
+Test(meshbackend, an_earlier_refusal_of_the_same_request_is_never_read)
+{
+    const std::vector<std::vector<std::string>> sequences = {{"a", "a"}, {"a", "b", "a"}, {"a", "b", "c", "a"}};
+    for (const std::vector<std::string> &ids : sequences) {
+        std::vector<Script> scripts = {{refusal(idOfA)}};
+        for (std::size_t i = 1; i + 1 < ids.size(); ++i) {
+            scripts.push_back({answer("Request-Id: " + ids[i] + "\r\n")});
+        }
+        Script repeated = {answer(idOfA)};
+        repeated.earlierBytes = refusal(idOfA);
+        scripts.push_back(repeated);
+        const Results results = run(scripts, ids);
+        cr_expect_eq(results.backend.front().code, ResultCode::BackendRefused);
+        cr_expect_eq(results.backend.back().code, ResultCode::Done, "%zu requests: the request has run", ids.size());
+        cr_expect_eq(results.connections, 2, "%zu requests: %d connections", ids.size(), results.connections);
+    }
+}
+
+Test(meshbackend, refusals_of_different_requests_leave_their_connection_in_use)
+{
+    std::vector<Script> scripts;
+    std::vector<std::string> ids;
+    for (int i = 0; i < 1500; ++i) {
+        ids.push_back("r" + std::to_string(i));
+        scripts.push_back({refusal("Request-Id: " + ids.back() + "\r\n")});
+    }
+    const Results results = run(scripts, ids);
+    for (const BackendResult &result : results.backend) {
+        cr_assert_eq(result.code, ResultCode::BackendRefused);
+    }
+    cr_assert_eq(results.connections, 2, "%d connections: each carries 1024 requests", results.connections);
+}
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -1,6 +1,7 @@
 #include <platform/configurationdecoder.h>
 #include <platform/httptranslation.h>
 #include <platform/instancedecoder.h>
+#include <platform/platformprotocol.h>
 #include <platform/storecalls.h>
 
 #include <criterion/criterion.h>
@@ -188,9 +189,7 @@
     cr_assert(sent.headers.valueOr("X-Kept", "") == "1");
     cr_assert_null(sent.headers.find("X-Hop"));
     cr_assert_null(sent.headers.find("Connection"));
-    HttpHeaders otherResponse;
-    otherResponse.add("Request-Id", "cc");
-    cr_assert_not(isMatchingResponse(sent, otherResponse));
+    cr_assert(sent.headers.valueOr(platformProtocol().requestIdHeader, "") == "aa.bb");
 }
 
 Test(platform, rejects_requests_without_an_id_or_with_a_malformed_deadline)
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -1,109 +1,18 @@
-#include "endlessbytes.h"
+#include "scriptedserver.h"
 
 #include <chervilpaddle/transport/httpclient.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
-#include <memory>
 #include <vector>
 
 using namespace chervilpaddle;
+using tests::Script;
+using tests::ScriptedServer;
 
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
-
-//! What the server does after it has received the first bytes of a request.
-struct Script
-{
-    std::string bytes;
-    bool closes = false;
-    bool resets = false;
-    //! Repeated after the bytes until the client closes the connection.
-    std::string endless = {};
-};
-
-//! Loopback server that runs one script per request, regardless of the connection.
-class ScriptedServer
-{
-public:
-    ScriptedServer(asio::io_context &context, std::vector<Script> scripts)
-        : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , m_scripts(std::move(scripts))
-    {
-        accept();
-    }
-
-    Endpoint address() const
-    {
-        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
-    }
-
-    int connections() const
-    {
-        return m_connections;
-    }
-
-    std::size_t floodBytes() const
-    {
-        return m_floodBytes;
-    }
-
-private:
-    void accept()
-    {
-        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (!error) {
-                ++m_connections;
-                serve(std::make_shared<tcp::socket>(std::move(socket)));
-                accept();
-            }
-        });
-    }
-
-    void serve(const std::shared_ptr<tcp::socket> &socket)
-    {
-        const auto buffer = std::make_shared<std::vector<char>>(65536);
-        socket->async_read_some(asio::buffer(*buffer), [this, socket, buffer](const boost::system::error_code &error, std::size_t) {
-            if (error || m_next == m_scripts.size()) {
-                return;
-            }
-            const Script &script = m_scripts[m_next++];
-            asio::write(*socket, asio::buffer(script.bytes));
-            boost::system::error_code ignored;
-            if (!script.endless.empty()) {
-                flood(socket, std::make_shared<std::string>(tests::floodBlock(script.endless)));
-                return;
-            }
-            if (script.resets) {
-                socket->set_option(asio::socket_base::linger(true, 0), ignored);
-            }
-            if (script.closes || script.resets) {
-                socket->close(ignored);
-                return;
-            }
-            serve(socket);
-        });
-    }
-
-    void flood(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &block)
-    {
-        asio::async_write(*socket, asio::buffer(*block), [this, socket, block](const boost::system::error_code &error, std::size_t bytes) {
-            m_floodBytes += bytes;
-            if (!error) {
-                flood(socket, block);
-            }
-        });
-    }
-
-    tcp::acceptor m_acceptor;
-    std::vector<Script> m_scripts;
-    std::size_t m_next = 0;
-    int m_connections = 0;
-    std::size_t m_floodBytes = 0;
-};
 
 struct Exchange
 {
@@ -123,9 +32,7 @@
     options.address = server.address();
     options.maxBodyBytes = 1024;
     options.acceptsCloseDelimitedBodies = true;
-    options.isMatchingResponse = [](const HttpRequest &request, const HttpHeaders &response) {
-        return response.valueOr("Id", {}).empty() || response.valueOr("Id", {}) == request.headers.valueOr("Id", {});
-    };
+    options.requestIdHeader = "Id";
     HttpClient client(context, options);
     std::vector<Exchange> exchanges;
     std::function<void()> next = [&] {
