Do not take a second copy of a refusal for the refusal of the next call

The interface of the product's own backend servers had the same fault as the platform's: a refusal that was written once more on a kept connection was taken for the response to the next call, which was reported as "not run" while it ran.

The context of a call is unique to one run, so a response that repeats another one is skipped. The interface did not ask for that so far; backend servers that do not do it go on working: after such a refusal the connection is closed, so that no copy of it can be read. The stand-in repeats the context.

--- a/src/chervilpaddle/node/backendadapter.cpp
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -16,12 +16,30 @@
 constexpr int firstServerErrorStatus = 500;
 constexpr int statusServiceUnavailable = 503;
 
+bool reportsNotRun(const HttpResponse &response)
+{
+    return response.status == statusServiceUnavailable && response.headers.find(headers::notRun) != nullptr;
+}
+
+HttpClient::Options clientOptions(const Endpoint &address)
+{
+    HttpClient::Options options;
+    options.address = address;
+    options.maxBodyBytes = maxBodyBytes;
+    options.requestIdHeader = headers::context;
+    // A refusal that names no context must not be received a second time, in place of the response to another call.
+    options.mayReuseAfter = [](const HttpResponse &response) {
+        return !reportsNotRun(response) || response.headers.find(headers::context) != nullptr;
+    };
+    return options;
+}
+
 ResultCode resultCodeOf(const HttpResult &result)
 {
     if (const auto failure = transferFailure(result); failure) {
         return *failure;
     }
-    if (result.response.status == statusServiceUnavailable && result.response.headers.find(headers::notRun) != nullptr) {
+    if (reportsNotRun(result.response)) {
         return ResultCode::BackendRefused;
     }
     return result.response.status >= firstServerErrorStatus ? ResultCode::DoneWithError : ResultCode::Done;
@@ -42,7 +60,7 @@
 } // namespace
 
 BackendAdapter::BackendAdapter(boost::asio::io_context &context, const Endpoint &address, Incarnation incarnation, Hooks hooks)
-    : m_client(context, {address, maxBodyBytes})
+    : m_client(context, clientOptions(address))
     , m_healthClient(context, {address, maxHealthBodyBytes})
     , m_contextPrefix(std::to_string(incarnation.value()) + "-")
     , m_hooks(std::move(hooks))
--- a/standins/standinbackend.cpp
+++ b/standins/standinbackend.cpp
@@ -124,6 +124,7 @@
     if (drawEvent(m_refusalRate)) {
         HttpResponse response = plainResponse(503, "refused");
         response.headers.add(headers::notRun, "true");
+        response.headers.add(headers::context, work->context);
         work->exchange->respond(std::move(response));
         return;
     }
@@ -173,6 +174,7 @@
 void StandinBackend::answer(const std::shared_ptr<Work> &work, int status, const std::string &body)
 {
     HttpResponse response = plainResponse(status, body);
+    response.headers.add(headers::context, work->context);
     if (m_health == "leaving") {
         response.headers.add(headers::leaving, "true");
     }
