Reject bodies in a transfer coding that is not decoded

Report from an operator of a similar system: answers that a backend server broke off in their heads reached callers as whole ones.

A refusal that was cut does not become "not run".

The request bears no TE header, so no server may use such a coding.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -256,7 +256,15 @@
 
     bool hasVerifiableEnd() const
     {
-        return m_options.acceptsCloseDelimitedBodies || !isCloseDelimited();
+        return !hasUnknownTransferCoding() && (m_options.acceptsCloseDelimitedBodies || !isCloseDelimited());
+    }
+
+    //! Returns whether the body is in a transfer coding that is not decoded.
+    bool hasUnknownTransferCoding() const
+    {
+        const auto &fields = m_parser->get();
+        const auto coding = fields.find(http::field::transfer_encoding);
+        return coding != fields.end() && !beast::iequals(coding->value(), "chunked");
     }
 
     HttpResponse takeResponse()
--- a/tests/mesh/meshbackend.cpp
+++ b/tests/mesh/meshbackend.cpp
@@ -145,3 +145,79 @@
     }
     cr_assert_eq(results.connections, 2, "%d connections: each carries 1024 requests", results.connections);
 }
+
+//! A response that ends early, at whatever byte, is neither an answer nor a refusal.
+Test(meshbackend, a_response_cut_at_any_byte_does_not_look_whole)
+{
+    const std::string signedHead = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n";
+    struct Case
+    {
+        const char *description;
+        std::string response;
+        ResultCode whole;
+        bool isCloseDelimited = false;
+    };
+    const Case cases[] = {
+        {"content length", signedHead + "Content-Length: 12\r\n\r\ntwelve bytes", ResultCode::Done},
+        {"content length before the other fields",
+         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nRequest-Id: a\r\nResponse-Signature: s\r\n\r\none",
+         ResultCode::Done},
+        {"empty body", signedHead + "Content-Length: 0\r\n\r\n", ResultCode::Done},
+        {"chunked", signedHead + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n2;x=y\r\ntw\r\n0\r\nTrailer: 1\r\n\r\n", ResultCode::Done},
+        {"no length", signedHead + "\r\n", ResultCode::Done, true},
+        {"no length, connection to be closed", signedHead + "Connection: close\r\n\r\n", ResultCode::Done, true},
+        {"unsigned", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\none", ResultCode::AnswerUnverified},
+        {"no content", "HTTP/1.1 204 No Content\r\nRequest-Id: a\r\nResponse-Signature: s\r\n\r\n", ResultCode::Done},
+        {"not modified",
+         "HTTP/1.1 304 Not Modified\r\nRequest-Id: a\r\nResponse-Signature: s\r\nContent-Length: 9\r\n\r\n",
+         ResultCode::Done},
+        {"refusal", "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\nbusy", ResultCode::BackendRefused},
+        {"refusal without a length", "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: a\r\n\r\n", ResultCode::BackendRefused, true},
+        {"misdirected request",
+         "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i\r\nRequest-Id: a\r\nContent-Length: 5\r\n\r\nnot I",
+         ResultCode::BackendRefused},
+    };
+    for (const Case &c : cases) {
+        for (std::size_t length = 0; length <= c.response.size(); ++length) {
+            for (const bool resets : {false, true}) {
+                const Results results = run({{c.response.substr(0, length), !resets, resets}}, {"a"});
+                const ResultCode code = results.backend[0].code;
+                const bool isWhole = length == c.response.size() && !(resets && c.isCloseDelimited);
+                const bool isAsExpected = isWhole ? code == c.whole : outcomeOf(code) == Outcome::Unknown;
+                cr_expect(
+                    isAsExpected, "%s, %s after %zu bytes: %s", c.description, resets ? "reset" : "closed", length, describe(code).name);
+            }
+        }
+    }
+}
+
+Test(meshbackend, a_body_without_a_length_is_whole_only_if_its_end_is_unambiguous)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n";
+    struct Case
+    {
+        const char *description;
+        std::string response;
+        bool resets;
+        ResultCode expected;
+    };
+    const Case cases[] = {
+        {"orderly close", head + "\r\none", false, ResultCode::Done},
+        {"reset", head + "\r\none", true, ResultCode::AnswerTruncated},
+        {"reset after an empty body", head + "\r\n", true, ResultCode::AnswerTruncated},
+        {"a coding that is not chunked", head + "Transfer-Encoding: gzip\r\n\r\none", false, ResultCode::AnswerTruncated},
+        {"a misspelt coding", head + "Transfer-Encoding: chunke\r\n\r\n3\r\none\r\n0\r\n\r\n", false, ResultCode::AnswerTruncated},
+        {"a coding after the chunked one", head + "Transfer-Encoding: chunked, gzip\r\n\r\none", false, ResultCode::AnswerTruncated},
+        {"a length without a value", head + "Content-Length: \r\n\r\none", false, ResultCode::AnswerTruncated},
+        {"a field name without a value", head + "Content-Len\r\n\r\none", false, ResultCode::AnswerTruncated},
+        {"a length that differs", head + "Content-Length: 3\r\nContent-Length: 30\r\n\r\none", false, ResultCode::AnswerTruncated},
+        {"a length and chunks",
+         head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+         false,
+         ResultCode::AnswerTruncated},
+    };
+    for (const Case &c : cases) {
+        const ResultCode code = run({{c.response, !c.resets, c.resets}}, {"a"}).backend[0].code;
+        cr_expect_eq(code, c.expected, "%s: %s", c.description, describe(code).name);
+    }
+}
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -163,6 +163,24 @@
     }
 }
 
+//! A frame that ends early, even by one byte of the answer's body, is no answer.
+Test(codec, a_truncated_answer_is_rejected)
+{
+    ResponseMessage response;
+    response.ticket = {Incarnation(3), 4};
+    response.payload.status = 200;
+    response.payload.head = std::make_shared<const HttpHead>(HttpHead{{}, {}, {{"Response-Signature", "s"}}});
+    for (const char *body : {"", "body"}) {
+        response.payload.body = std::make_shared<const std::string>(body);
+        const std::string complete = encodeFrame({response, TimePoint()});
+        cr_assert_not(decodeResult(complete));
+        for (std::size_t length = 0; length < complete.size(); ++length) {
+            cr_assert(decodeResult(complete.substr(0, length)), "%zu of %zu bytes", length, complete.size());
+        }
+        cr_assert(decodeResult(complete + complete), "two frames in one");
+    }
+}
+
 Test(codec, a_ticket_round_trips_through_its_text_form)
 {
     const Ticket ticket = exampleCall().ticket;
