Test interruptions at every step of a client's exchange

A cancellation or a deadline is brought about after each single handler of an exchange, also where the completion of the read is already queued.

--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
+#include <thread>
 #include <vector>
 
 using namespace chervilpaddle;
@@ -148,3 +149,63 @@
         cr_expect_leq(floodBytes, tests::maxFloodBytes, "%s: %zu bytes", testCase.description, floodBytes);
     }
 }
+
+//! A cancellation or a deadline may come when a completion is already queued. Each step of an exchange is interrupted once.
+Test(httpclient, an_interruption_at_any_step_ends_the_request_once_and_spoils_no_later_one)
+{
+    constexpr auto shortTimeout = std::chrono::milliseconds(20);
+    enum class Interruption { Cancellation, Deadline };
+    for (const Interruption interruption : {Interruption::Cancellation, Interruption::Deadline}) {
+        bool hasEndedBefore = false;
+        for (int step = 0; !hasEndedBefore; ++step) {
+            cr_assert_lt(step, 100, "the exchange does not end");
+            asio::io_context clientContext;
+            asio::io_context serverContext;
+            ScriptedServer server(serverContext, {{responseA}, {responseB}});
+            HttpClient client(clientContext, {server.address(), 1024});
+            const auto advance = [&] {
+                clientContext.restart();
+                clientContext.poll_one();
+                serverContext.restart();
+                serverContext.poll();
+            };
+            std::vector<HttpResult> first;
+            HttpRequest request;
+            const bool isCancelled = interruption == Interruption::Cancellation;
+            const auto number = client.send(
+                request, isCancelled ? std::chrono::seconds(5) : shortTimeout, [&](const HttpResult &result) { first.push_back(result); });
+            cr_assert(first.empty(), "called back before send() returned");
+            for (int i = 0; i < step; ++i) {
+                advance();
+            }
+            hasEndedBefore = !first.empty();
+            if (isCancelled) {
+                client.cancel(number);
+            } else {
+                std::this_thread::sleep_for(shortTimeout + std::chrono::milliseconds(5));
+            }
+            const auto giveUpAt = steadyClock()() + std::chrono::seconds(4);
+            while (first.empty() && steadyClock()() < giveUpAt) {
+                advance();
+            }
+            cr_assert_eq(first.size(), 1, "interrupted at step %d", step);
+            const bool isComplete = first[0].stage == HttpStage::Complete;
+            cr_expect(!isComplete || first[0].response.body == "one", "step %d", step);
+            std::vector<HttpResult> second;
+            client.send(request, std::chrono::seconds(4), [&](const HttpResult &result) { second.push_back(result); });
+            while (second.empty() && steadyClock()() < giveUpAt) {
+                advance();
+            }
+            cr_assert_eq(second.size(), 1, "step %d", step);
+            cr_expect_eq(second[0].stage,
+                         HttpStage::Complete,
+                         "step %d: the next request ended at stage %d",
+                         step,
+                         static_cast<int>(second[0].stage));
+            const std::string expected = server.requests() == 2 ? "two" : "one";
+            cr_expect(second[0].response.body == expected, "step %d: %s", step, second[0].response.body.c_str());
+            cr_expect(first[0].stage != HttpStage::NotSent || server.requests() == 1, "step %d: a request was sent after all", step);
+            cr_expect_eq(first.size(), 1, "step %d: called back twice", step);
+        }
+    }
+}
