--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -154,8 +154,8 @@
 Test(httpclient, an_interruption_at_any_step_ends_the_request_once_and_spoils_no_later_one)
 {
     constexpr auto shortTimeout = std::chrono::milliseconds(20);
-    enum class Interruption { Cancellation, Deadline };
-    for (const Interruption interruption : {Interruption::Cancellation, Interruption::Deadline}) {
+    enum class Interruption { Cancellation, Deadline, DeadlineOfSilentServer };
+    for (const Interruption interruption : {Interruption::Cancellation, Interruption::Deadline, Interruption::DeadlineOfSilentServer}) {
         bool hasEndedBefore = false;
         for (int step = 0; !hasEndedBefore; ++step) {
             cr_assert_lt(step, 100, "the exchange does not end");
@@ -184,6 +184,10 @@
             } else {
                 std::this_thread::sleep_for(shortTimeout + std::chrono::milliseconds(5));
             }
+            if (interruption == Interruption::DeadlineOfSilentServer) {
+                clientContext.restart();
+                clientContext.poll();
+            }
             const auto giveUpAt = steadyClock()() + std::chrono::seconds(4);
             while (first.empty() && steadyClock()() < giveUpAt) {
                 advance();
