--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -352,7 +352,7 @@
     std::shared_ptr<Connection> takeIdleConnection(const HttpRequest &request)
     {
         for (std::size_t i = m_idle.size(); i-- > 0;) {
-            const auto connection = m_idle[i];
+            auto connection = m_idle[i];
             const bool isUsable = connection->isUsable();
             if (isUsable && connection->hasCarried(request)) {
                 continue;
