Keep a server's announced idle timeout for the whole connection

A response without a Keep-Alive field made the client forget what an earlier response on the connection had announced: the connection was reused after the server's timeout, and a request that crosses the server's close ends as unknown (found by reading; no such loss was seen).

Failing before, httpclient.a_connection_is_not_reused_when_its_server_is_about_to_close_it: announced by an earlier response only: 1 connections no number announced last: 1 connections

The clock of the idle time is an option, so that the test needs no waiting.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -68,7 +68,7 @@
 
     bool isUsable()
     {
-        const bool isWithinIdleLimit = std::chrono::steady_clock::now() - m_idleSince < m_maxIdleTime;
+        const bool isWithinIdleLimit = m_options.clock() - m_idleSince < m_maxIdleTime;
         if (!isWithinIdleLimit || !m_stream.socket().is_open() || m_buffer.size() != 0) {
             return false;
         }
@@ -197,9 +197,11 @@
         }
         m_reusable = result.stage == HttpStage::Complete && mayReuseAfter(result.response);
         if (m_reusable) {
-            const auto announced = announcedIdleTimeout(m_parser->get());
-            m_maxIdleTime = std::min(m_options.maxIdleTime, announced ? *announced - idleMargin : m_options.maxIdleTime);
-            m_idleSince = std::chrono::steady_clock::now();
+            // A server need not announce its timeout in each response.
+            if (const auto announced = announcedIdleTimeout(m_parser->get()); announced) {
+                m_maxIdleTime = std::min<Duration>(m_options.maxIdleTime, *announced - idleMargin);
+            }
+            m_idleSince = m_options.clock();
         }
         complete(std::move(result));
     }
@@ -305,7 +307,7 @@
     HttpRequest m_sentRequest;
     std::vector<std::uint64_t> m_carriedIds;
     Duration m_maxIdleTime = m_options.maxIdleTime;
-    std::chrono::steady_clock::time_point m_idleSince;
+    TimePoint m_idleSince;
 };
 
 } // namespace
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -50,6 +50,8 @@
         Duration connectTimeout = std::chrono::seconds(1);
         //! Connections that were idle for longer are not reused. The server's Keep-Alive field may lower the limit.
         Duration maxIdleTime = std::chrono::seconds(60);
+        //! Measures how long connections are idle.
+        Clock clock = steadyClock();
         //! Treats a response without a length as complete if the server closes the connection in an orderly way.
         bool acceptsCloseDelimitedBodies = false;
         //! Name of the header that identifies a request and that the server repeats in its responses; empty if there is none.
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -213,3 +213,49 @@
         }
     }
 }
+
+Test(httpclient, a_connection_is_not_reused_when_its_server_is_about_to_close_it)
+{
+    struct Case
+    {
+        const char *description;
+        std::string firstField;
+        std::string secondField;
+        Duration idleTime;
+        int connections;
+    };
+    const std::string announcement = "Keep-Alive: timeout=5\r\n";
+    const Case cases[] = {
+        {"nothing announced", "", "", std::chrono::milliseconds(59900), 1},
+        {"nothing announced, idle for longer than the limit", "", "", std::chrono::seconds(60), 2},
+        {"within the announced time", announcement, announcement, std::chrono::milliseconds(3900), 1},
+        {"shortly before its end", announcement, announcement, std::chrono::seconds(4), 2},
+        {"announced by the last response only", "", announcement, std::chrono::seconds(4), 2},
+        {"announced by an earlier response only", announcement, "", std::chrono::seconds(4), 2},
+        {"a longer time announced last", announcement, "Keep-Alive: timeout=15\r\n", std::chrono::seconds(4), 1},
+        {"no number announced last", announcement, "Keep-Alive: timeout=x\r\n", std::chrono::seconds(4), 2},
+    };
+    for (const Case &c : cases) {
+        asio::io_context context;
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+        ScriptedServer server(context, {{head + c.firstField + "\r\n"}, {head + c.secondField + "\r\n"}, {head + "\r\n"}});
+        TimePoint now;
+        HttpClient::Options options;
+        options.address = server.address();
+        options.clock = [&now] { return now; };
+        HttpClient client(context, options);
+        int completed = 0;
+        std::function<void(const HttpResult &)> next = [&](const HttpResult &result) {
+            cr_expect_eq(result.stage, HttpStage::Complete, "%s", c.description);
+            if (++completed == 3) {
+                context.stop();
+                return;
+            }
+            now += completed == 2 ? c.idleTime : Duration::zero();
+            client.send({}, std::chrono::seconds(5), next);
+        };
+        client.send({}, std::chrono::seconds(5), next);
+        context.run();
+        cr_expect_eq(server.connections(), c.connections, "%s: %d connections", c.description, server.connections());
+    }
+}
