Refuse TRACE requests that have content

Callers could end a process: a TRACE request with a body was passed on, and the node beside the backend server ended with an uncaught std::invalid_argument, cutting all its connections and runs. On a route that may be repeated, the next node would have been next.

Cause: Beast's prepare_payload(), with which the client completes each request, throws for TRACE with a body ("invalid request body"). The server took such requests for valid.

Change: the server answers 400. RFC 9110, 9.3.8: a client must not send content in a TRACE request.

The test failed before: 'actual=HTTP/1.1 200 OK expected=HTTP/1.1 400 Bad Request', for both ways of sending a body. Open: HttpClient itself still throws for such a request, which only a frame of an older peer can still bring.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -202,10 +202,18 @@
             return;
         }
         http::async_read(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
-                             error ? handleReadError(error) : handleRequest();
+                             error ? handleReadError(error) : checkRequest();
                          }));
     }
 
+    //! A TRACE request must not have content (RFC 9110, 9.3.8); it could not be passed on.
+    void checkRequest()
+    {
+        const auto &message = m_parser->get();
+        const bool hasForbiddenContent = message.method() == http::verb::trace && !message.body().empty();
+        hasForbiddenContent ? reject(ResultCode::Malformed, CloseReason::Malformed) : handleRequest();
+    }
+
     void handleReadError(beast::error_code error)
     {
         if (error == http::error::body_limit) {
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -306,3 +306,93 @@
         cr_expect_eq(response.find(field) == std::string::npos, testCase.announced.empty(), "%s", response.c_str());
     }
 }
+
+namespace {
+
+//! A server on a thread of its own that keeps its exchanges.
+class ExchangeServer
+{
+public:
+    //! The handler is called with all exchanges so far; the last one has just begun.
+    explicit ExchangeServer(std::function<void(const std::vector<std::shared_ptr<HttpExchange>> &)> handler)
+        : m_address{"127.0.0.1", freePort()}
+        , m_server({&m_context}, options(), [this, handler = std::move(handler)](const std::shared_ptr<HttpExchange> &exchange) {
+            m_exchanges.push_back(exchange);
+            handler(m_exchanges);
+        })
+    {
+        cr_assert_not(m_server.listen());
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~ExchangeServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    ExchangeServer(const ExchangeServer &) = delete;
+    ExchangeServer &operator=(const ExchangeServer &) = delete;
+
+    tcp::socket connect(asio::io_context &context) const
+    {
+        tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(m_address.host), m_address.port});
+        return socket;
+    }
+
+private:
+    HttpServer::Options options() const
+    {
+        HttpServer::Options options;
+        options.address = m_address;
+        options.maxBodyBytes = 64 * kibibyte;
+        return options;
+    }
+
+    Endpoint m_address;
+    asio::io_context m_context;
+    std::vector<std::shared_ptr<HttpExchange>> m_exchanges;
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+//! Reads until the connection ends. Returns what was received, and how it ended.
+std::pair<std::string, boost::system::error_code> receiveAll(tcp::socket &socket)
+{
+    std::string received;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    return {received, error};
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
+void expectStatusLine(tcp::socket &socket, const std::string &request, const std::string &expected)
+{
+    const std::string statusLine = statusLineOf(socket, request);
+    cr_expect(statusLine == expected, "'%s' instead of '%s'", statusLine.c_str(), expected.c_str());
+}
+
+constexpr auto patience = std::chrono::seconds(10);
+
+} // namespace
+
+Test(httpserver, trace_requests_with_content_are_refused)
+{
+    CountingServer server;
+    asio::io_context context;
+    for (const char *request : {"TRACE / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+                                "TRACE / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"}) {
+        tcp::socket socket = server.connect(context);
+        expectStatusLine(socket, request, "HTTP/1.1 400 Bad Request");
+    }
+    cr_expect_eq(server.handled(), 0);
+    tcp::socket socket = server.connect(context);
+    expectStatusLine(socket, "TRACE / HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK");
+}
