Write no response that HTTP does not allow

A peer could end a process: its response was written to the caller by Beast, which throws for content with status 204 or 304 ("invalid response body"), for statuses over 999 and for names and values over 64 KiB.

Change: the server leaves out the content of responses that must not have any; the frame decoder rejects statuses outside 0 to 999 and texts of a head over 32 KiB. What a node receives by HTTP is within both, as heads are limited to 16 KiB there.

The tests failed before: 'terminate called after throwing an instance of std::invalid_argument, what(): invalid response body', CRASH; and the decoder took all of the frames.

--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint64_t maxStoreAvailability = 86'400'000'000;
 constexpr int maxRetryAllowance = 1'000;
 constexpr int hexadecimal = 16;
+constexpr int maxHttpStatus = 999;
+//! Longer names and values cannot be written as HTTP. Heads that a node has received are shorter.
+constexpr std::size_t maxHeadTextBytes = 32 * kibibyte;
 //! Longest encoding of the start of a map.
 constexpr std::size_t maxMapHeadBytes = 9;
 //! Room for the fields of an ordinary call without its body.
@@ -163,6 +166,11 @@
     if (elements.size() % 2 != 0) {
         throw FrameError(ResultCode::FrameMalformed);
     }
+    for (const CborValue &element : elements) {
+        if (element.text().size() > maxHeadTextBytes) {
+            throw FrameError(ResultCode::FrameTooLarge);
+        }
+    }
     HttpHead head{decodeText(elements[0]), decodeText(elements[1]), {}};
     head.fields.reserve(elements.size() / 2 - 1);
     for (std::size_t i = 2; i < elements.size(); i += 2) {
@@ -187,6 +195,9 @@
 {
     Payload payload;
     payload.status = decodeInt(value.at("status"));
+    if (payload.status < 0 || payload.status > maxHttpStatus) {
+        throw FrameError(ResultCode::FrameMalformed);
+    }
     payload.contentType = decodeText(value.at("type"));
     if (const auto head = value.find("head"); head) {
         payload.head = std::make_shared<const HttpHead>(decodeHead(*head));
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -27,6 +27,12 @@
 //! Time from the end of the announced idle time until an idle connection is closed.
 constexpr auto idleCloseMargin = std::chrono::seconds(10);
 
+bool mayHaveContent(http::status status)
+{
+    const bool isInterim = http::to_status_class(status) == http::status_class::informational;
+    return !isInterim && status != http::status::no_content && status != http::status::not_modified;
+}
+
 //! State shared by all connections of a server.
 struct ServerState
 {
@@ -292,7 +298,9 @@
         for (const auto &[name, value] : response.headers.fields()) {
             m_response->insert(name, value);
         }
-        m_response->body() = std::move(response.body);
+        if (mayHaveContent(m_response->result())) {
+            m_response->body() = std::move(response.body);
+        }
         const bool isKeepAliveRequested = m_parser && m_parser->is_header_done() && m_parser->get().keep_alive();
         if (!m_announcedReason && m_state->closeAfterResponses) {
             m_announcedReason = CloseReason::Shutdown;
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -227,3 +227,21 @@
     cr_assert_not(decodeFrame(encodeFrame({status, TimePoint()}), frame));
     cr_assert_float_eq(std::get<StatusMessage>(frame.message).clearingRank, 8.25, 1e-9);
 }
+
+Test(codec, rejects_payloads_that_cannot_be_written_as_http)
+{
+    const json valid = exampleAsJson();
+    for (const int status : {-1, 1000}) {
+        json changed = valid;
+        changed["status"] = status;
+        cr_expect(decodeResult(encoded(changed)) == ResultCode::FrameMalformed, "%d", status);
+    }
+    json changed = valid;
+    changed["head"] = json::array({"GET", "/", "Host", "h"});
+    cr_expect_not(decodeResult(encoded(changed)));
+    for (const std::size_t index : {0, 1, 2, 3}) {
+        json large = changed;
+        large["head"][index] = std::string(66'000, 'x');
+        cr_expect(decodeResult(encoded(large)) == ResultCode::FrameTooLarge, "%zu", index);
+    }
+}
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -396,3 +396,17 @@
     tcp::socket socket = server.connect(context);
     expectStatusLine(socket, "TRACE / HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK");
 }
+
+Test(httpserver, a_response_whose_status_allows_no_content_is_sent_without_it)
+{
+    for (const int status : {204, 304}) {
+        ExchangeServer server(
+            [status](const auto &exchanges) { exchanges.back()->respond(textResponse(status, "text/plain", "content")); });
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        send(socket, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        const auto [received, error] = receiveAll(socket);
+        cr_expect_eq(received.find("HTTP/1.1 " + std::to_string(status)), 0, "%s", received.c_str());
+        cr_expect_eq(countOf(received, "content"), 0, "%s", received.c_str());
+    }
+}
