Accept frames of peers without an HTTP head

A peer could end a process: the head of a call or response is optional in frames, as calls by contract have none, but the translation to HTTP took it for given.

The refusal of calls has no test of its own, as the core has none without a network.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -423,9 +423,13 @@
     }
 }
 
-//! Calls for a backend server that is leaving, has left or is not the one beside this node do not start.
+//! Calls for a backend server that is leaving, has left or is not the one beside this node do not start, nor do calls of a peer
+//! that are not HTTP requests.
 std::optional<ResultCode> MeshCore::startRefusal(const CallMessage &call) const
 {
+    if (!call.payload.head) {
+        return ResultCode::Malformed;
+    }
     const bool isOtherBackend = m_ownInstance && m_ownInstance->backend != call.context.backend;
     const bool isLeaving = m_ownInstance && m_ownInstance->leaving;
     const bool isRefused = isOtherBackend || isLeaving || m_directory.hasLeft(call.context.backend);
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -222,3 +222,14 @@
     cr_assert_not(isHeartbeatWith("no JSON"));
     cr_assert_not(isHeartbeat({"servers/i-1", "[]", Revision(5)}, {"servers/i-1", value, Revision(6)}));
 }
+
+Test(platform, a_response_of_a_peer_without_a_head_reaches_the_caller)
+{
+    CallResult result;
+    result.code = ResultCode::Done;
+    result.payload.status = 200;
+    result.payload.body = std::make_shared<const std::string>("body");
+    const HttpResponse response = callerResponse(RequestId("r"), result, std::nullopt);
+    cr_expect_eq(response.status, 200);
+    cr_expect_str_eq(response.body.c_str(), "body");
+}
