--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -223,6 +223,18 @@
     cr_assert_not(isHeartbeat({"servers/i-1", "[]", Revision(5)}, {"servers/i-1", value, Revision(6)}));
 }
 
+Test(platform, rejects_an_entry_whose_key_is_not_below_the_prefix)
+{
+    const std::string valid = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","slots":108,"state":"ready"})";
+    std::string reason;
+    cr_assert(decodeInstance({"servers/i-1", valid, Revision(3)}, reason).has_value(), "%s", reason.c_str());
+    for (const char *key : {"", "s", "servers", "servers/", "clients/i-1"}) {
+        reason.clear();
+        cr_expect_not(decodeInstance({key, valid, Revision(3)}, reason).has_value(), "%s", key);
+        cr_expect_not(reason.empty());
+    }
+}
+
 Test(platform, a_response_of_a_peer_without_a_head_reaches_the_caller)
 {
     CallResult result;
