--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -235,6 +235,21 @@
     }
 }
 
+Test(platform, documents_nested_too_deeply_do_not_exhaust_the_stack)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto entry = [&nested](int sequence) {
+        return StoreItem{"servers/i-1", "{\"sequence\":" + std::to_string(sequence) + ",\"x\":" + nested + "}", Revision(3)};
+    };
+    cr_expect_not(isHeartbeat(entry(1), entry(2)));
+    std::string reason;
+    cr_expect_not(decodeInstance(entry(1), reason).has_value());
+    cr_expect_not(decodeRoutes({"op/config", nested, Revision(5)}, reason).has_value());
+    cr_expect_eq(decodePage(nested).status, StoreStatus::Failed);
+    cr_expect_eq(decodeChanges(nested).status, StoreStatus::Failed);
+}
+
 Test(platform, a_response_of_a_peer_without_a_head_reaches_the_caller)
 {
     CallResult result;
