Pause before accepting again when there are no descriptors

A node without free descriptors used up its share of the processor: the connection that cannot be accepted stays in the backlog, so that the next attempt fails at once, and servers and peers' transport tried again without end. Each attempt is a system call and a wake-up.

Change: the next attempt comes 50 ms later. websocketpp's accept loop leaves no room for this, so the transport accepts by itself.

The tests failed before: more than 20 handlers ran in 200 ms, for servers and for peers.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -24,6 +24,7 @@
 
 constexpr auto receiveTimeout = std::chrono::seconds(10);
 constexpr auto writeTimeout = std::chrono::seconds(30);
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 //! Time from the end of the announced idle time until an idle connection is closed.
 constexpr auto idleCloseMargin = std::chrono::seconds(10);
 
@@ -445,6 +446,7 @@
     Impl(std::vector<asio::io_context *> contexts, Options options, Handler handler)
         : m_contexts(std::move(contexts))
         , m_acceptor(*m_contexts.front())
+        , m_acceptTimer(*m_contexts.front())
         , m_state(std::make_shared<ServerState>())
     {
         m_state->options = std::move(options);
@@ -492,9 +494,20 @@
     void accept()
     {
         m_acceptor.async_accept(nextContext(), [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
+            if (self->m_acceptor.is_open()) {
+                error ? self->acceptLater() : self->accept();
+            }
             if (!error) {
                 self->startSession(std::move(socket));
             }
+        });
+    }
+
+    //! Without descriptors or memory each attempt fails at once, as the connection stays in the backlog.
+    void acceptLater()
+    {
+        m_acceptTimer.expires_after(acceptRetryDelay);
+        m_acceptTimer.async_wait([self = shared_from_this()](beast::error_code /*error*/) {
             if (self->m_acceptor.is_open()) {
                 self->accept();
             }
@@ -530,10 +543,12 @@
             }
         }
         m_acceptor.close(error);
+        m_acceptTimer.cancel();
     }
 
     std::vector<asio::io_context *> m_contexts;
     tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
     std::size_t m_nextContext = 0;
     std::shared_ptr<ServerState> m_state;
 };
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -1,7 +1,9 @@
 #include <chervilpaddle/transport/peertransport.h>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 #include <websocketpp/client.hpp>
 #include <websocketpp/concurrency/none.hpp>
@@ -16,6 +18,7 @@
 
 //! A connection is closed when more data than this waits to be sent, because its peer does not read.
 constexpr std::size_t maxUnsentBytes = 4 * maxFrameBytes;
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 // websocketpp requires the names below.
 // NOLINTBEGIN(readability-identifier-naming)
@@ -55,6 +58,7 @@
 
 using Server = websocketpp::server<SingleThreaded<websocketpp::config::core>>;
 using Client = websocketpp::client<SingleThreaded<websocketpp::config::core_client>>;
+using boost::asio::ip::tcp;
 using websocketpp::connection_hdl;
 
 } // namespace
@@ -65,10 +69,11 @@
     Impl(boost::asio::io_context &context, Hooks hooks)
         : m_context(context)
         , m_hooks(std::move(hooks))
+        , m_acceptor(context)
+        , m_acceptTimer(context)
     {
         configure(m_server);
         configure(m_client);
-        m_server.set_reuse_addr(true);
         m_server.set_open_handler([this](const connection_hdl &handle) {
             const ConnectionId id(++m_lastId);
             const auto connection = m_server.get_con_from_hdl(handle);
@@ -81,13 +86,19 @@
 
     std::error_code listen(const Endpoint &address)
     {
-        websocketpp::lib::error_code error;
-        m_server.listen(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(address.host), address.port), error);
+        boost::system::error_code error;
+        const tcp::endpoint endpoint(boost::asio::ip::make_address(address.host, error), address.port);
+        m_acceptor.open(endpoint.protocol(), error);
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        m_acceptor.bind(endpoint, error);
+        if (!error) {
+            m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
+        }
         if (error) {
             return ResultCode::AddressInUse;
         }
-        m_server.start_accept(error);
-        return error ? std::error_code(ResultCode::AddressInUse) : std::error_code();
+        accept();
+        return {};
     }
 
     ConnectionId dial(const Endpoint &address)
@@ -130,8 +141,9 @@
 
     void shutdown()
     {
-        websocketpp::lib::error_code ignored;
-        m_server.stop_listening(ignored);
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_acceptTimer.cancel();
         std::vector<ConnectionId> ids;
         for (const auto &entry : m_outbound) {
             ids.push_back(entry.first);
@@ -148,6 +160,34 @@
     PeerTraffic m_received;
 
 private:
+    //! Accepts without websocketpp's loop, which tries again at once when there are no descriptors.
+    void accept()
+    {
+        const auto connection = m_server.get_connection();
+        m_acceptor.async_accept(connection->get_raw_socket(),
+                                [this, alive = weak_from_this(), connection](boost::system::error_code error) {
+                                    if (alive.expired()) {
+                                        return;
+                                    }
+                                    if (m_acceptor.is_open()) {
+                                        error ? acceptLater() : accept();
+                                    }
+                                    if (!error) {
+                                        connection->start();
+                                    }
+                                });
+    }
+
+    void acceptLater()
+    {
+        m_acceptTimer.expires_after(acceptRetryDelay);
+        m_acceptTimer.async_wait([this, alive = weak_from_this()](boost::system::error_code /*error*/) {
+            if (!alive.expired() && m_acceptor.is_open()) {
+                accept();
+            }
+        });
+    }
+
     template<typename EndpointType>
     void configure(EndpointType &endpoint)
     {
@@ -233,6 +273,8 @@
 
     boost::asio::io_context &m_context;
     Hooks m_hooks;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     Server m_server;
     Client m_client;
     std::uint64_t m_lastId = 0;
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -1,3 +1,4 @@
+#include "descriptorhoard.h"
 #include "endlessbytes.h"
 
 #include <chervilpaddle/transport/httpserver.h>
@@ -410,3 +411,26 @@
         cr_expect_eq(countOf(received, "content"), 0, "%s", received.c_str());
     }
 }
+
+Test(httpserver, accepting_pauses_while_there_are_no_descriptors)
+{
+    asio::io_context context;
+    HttpServer::Options options;
+    options.address = {"127.0.0.1", freePort()};
+    HttpServer server({&context}, options, [&context](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(textResponse(200, "text/plain", "ok"));
+        context.stop();
+    });
+    cr_assert_not(server.listen());
+    asio::io_context clientContext;
+    tcp::socket socket(clientContext, tcp::v4());
+    {
+        const tests::DescriptorHoard hoard;
+        socket.connect({asio::ip::make_address(options.address.host), options.address.port});
+        constexpr std::size_t maxAttempts = 20;
+        cr_expect_leq(context.run_for(std::chrono::milliseconds(200)), maxAttempts);
+    }
+    send(socket, plainRequest);
+    context.run_for(patience);
+    cr_expect(context.stopped());
+}
--- /dev/null
+++ b/tests/transport/peertransport.cpp
@@ -0,0 +1,112 @@
+#include "descriptorhoard.h"
+
+#include <chervilpaddle/base/random.h>
+#include <chervilpaddle/transport/peertransport.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <functional>
+#include <vector>
+
+using namespace chervilpaddle;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto patience = std::chrono::seconds(10);
+
+Endpoint freeAddress()
+{
+    asio::io_context context;
+    return {"127.0.0.1", tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)).local_endpoint().port()};
+}
+
+//! A transport that listens and one that dials it, on the same context.
+class TransportPair
+{
+public:
+    explicit TransportPair(std::function<void(const PeerFrame &)> received)
+        : m_server(context, hooks(std::move(received), [](ConnectionId) {}))
+        , m_client(context, hooks([](const PeerFrame &) {}, [this](ConnectionId id) { m_client.send(id, HelloMessage()); }))
+    {
+        cr_assert_not(m_server.listen(address));
+    }
+
+    //! Dials the listening transport, which receives a hello as soon as the connection is open.
+    ConnectionId dial()
+    {
+        return m_client.dial(address);
+    }
+
+    void send(ConnectionId id, const PeerMessage &message)
+    {
+        m_client.send(id, message);
+    }
+
+    const Endpoint address = freeAddress();
+    asio::io_context context{1};
+    int closed = 0;
+    int rejected = 0;
+
+private:
+    PeerTransport::Hooks hooks(std::function<void(const PeerFrame &)> received, std::function<void(ConnectionId)> opened)
+    {
+        PeerTransport::Hooks hooks;
+        hooks.clock = [] { return TimePoint(); };
+        hooks.opened = [opened = std::move(opened)](ConnectionId id, bool /*inbound*/) { opened(id); };
+        hooks.received = [received = std::move(received)](ConnectionId /*id*/, const PeerFrame &frame) { received(frame); };
+        hooks.closed = [this](ConnectionId /*id*/) { ++closed; };
+        hooks.frameRejected = [this](ConnectionId /*id*/, std::error_code /*error*/) { ++rejected; };
+        return hooks;
+    }
+
+    PeerTransport m_server;
+    PeerTransport m_client;
+};
+
+std::string randomBytes(RandomSource &random, std::size_t size)
+{
+    std::string bytes(size, '\0');
+    for (char &byte : bytes) {
+        byte = static_cast<char>(random());
+    }
+    return bytes;
+}
+
+std::string upgrade(const std::string &version, const std::string &fields = {})
+{
+    return "GET /peer HTTP/1.1\r\nHost: h:1\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+           "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: "
+        + version + "\r\n" + fields + "\r\n";
+}
+
+//! The handshake of the draft version 00.
+std::string draftUpgrade(const std::string &key1, const std::string &key2)
+{
+    return "GET /peer HTTP/1.1\r\nHost: h\r\nUpgrade: WebSocket\r\nConnection: Upgrade\r\nSec-WebSocket-Key1: " + key1
+        + "\r\nSec-WebSocket-Key2: " + key2 + "\r\n\r\n12345678";
+}
+
+} // namespace
+
+Test(peertransport, accepting_pauses_while_there_are_no_descriptors)
+{
+    int received = 0;
+    TransportPair pair([&received](const PeerFrame & /*frame*/) { ++received; });
+    asio::io_context clientContext;
+    tcp::socket socket(clientContext, tcp::v4());
+    {
+        const tests::DescriptorHoard hoard;
+        socket.connect({asio::ip::make_address(pair.address.host), pair.address.port});
+        constexpr std::size_t maxAttempts = 20;
+        cr_expect_leq(pair.context.run_for(std::chrono::milliseconds(200)), maxAttempts);
+    }
+    socket.close();
+    pair.dial();
+    while (received == 0 && pair.context.run_one_for(patience) > 0) { }
+    cr_expect_eq(received, 1);
+}
