Accept peers of WebSocket version 13 only

A client of the peers' port could use up the memory: websocketpp also speaks the draft version 00, whose messages have no length, and does not limit their size.

Change: other versions are refused in the handshake.

The test failed before: 'a message without a length: bytes were taken'. Messages in fragments and handshakes without an end were cut off before, too.

--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -18,6 +18,7 @@
 
 //! A connection is closed when more data than this waits to be sent, because its peer does not read.
 constexpr std::size_t maxUnsentBytes = 4 * maxFrameBytes;
+constexpr const char *protocolVersion = "13"; // RFC 6455
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 // websocketpp requires the names below.
@@ -74,6 +75,10 @@
     {
         configure(m_server);
         configure(m_client);
+        // Earlier versions delimit messages without a length, and websocketpp does not limit their size.
+        m_server.set_validate_handler([this](const connection_hdl &handle) {
+            return m_server.get_con_from_hdl(handle)->get_request_header("Sec-WebSocket-Version") == protocolVersion;
+        });
         m_server.set_open_handler([this](const connection_hdl &handle) {
             const ConnectionId id(++m_lastId);
             const auto connection = m_server.get_con_from_hdl(handle);
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -1,4 +1,5 @@
 #include "descriptorhoard.h"
+#include "endlessbytes.h"
 
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/transport/peertransport.h>
@@ -110,3 +111,30 @@
     while (received == 0 && pair.context.run_one_for(patience) > 0) { }
     cr_expect_eq(received, 1);
 }
+
+Test(peertransport, a_message_without_end_is_cut_off)
+{
+    const tests::EndlessCase cases[] = {
+        {"a message without a length", draftUpgrade("1 2", "3 4") + std::string(1, '\0'), "x"},
+        {"fragments", upgrade("13") + std::string("\x02\x80\0\0\0\0", 6), std::string("\0\xfe\x10\0\0\0\0\0", 8) + std::string(4096, 'x')},
+        {"handshake", upgrade("13", "A: "), "x"},
+    };
+    for (const tests::EndlessCase &testCase : cases) {
+        TransportPair pair([](const PeerFrame & /*frame*/) {});
+        asio::io_context clientContext;
+        tcp::socket socket(clientContext);
+        socket.connect({asio::ip::make_address(pair.address.host), pair.address.port});
+        boost::system::error_code error;
+        std::size_t sent = asio::write(socket, asio::buffer(testCase.start), error);
+        socket.non_blocking(true);
+        const std::string block = tests::floodBlock(testCase.endless);
+        std::size_t at = 0;
+        while ((!error || error == asio::error::would_block) && sent < tests::maxFloodBytes) {
+            const std::size_t size = socket.write_some(asio::buffer(block) + at, error);
+            sent += size;
+            at = (at + size) % block.size();
+            pair.context.poll();
+        }
+        cr_expect_lt(sent, tests::maxFloodBytes, "%s: %zu bytes were taken", testCase.description, sent);
+    }
+}
