Notice clients that leave behind bytes they have sent

Work went on for callers that had left: while a request was being handled, its connection was watched by peeking at the socket, which sees an end only if nothing precedes it. Once a client had sent anything more - a pipelined request or a line end after its body - the watch ended, and so the run went on for as long as it took.

An end of the stream still counts as a client that has left, also if it might be half-closed: nothing tells the two apart before a response is written, and work must stop soon after a client has left.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -24,6 +24,8 @@
 
 constexpr auto receiveTimeout = std::chrono::seconds(10);
 constexpr auto writeTimeout = std::chrono::seconds(30);
+//! What is read ahead of the next request while one is being handled.
+constexpr std::size_t maxPipelinedBytes = maxHeaderBytes;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 //! Time from the end of the announced idle time until an idle connection is closed.
 constexpr auto idleCloseMargin = std::chrono::seconds(10);
@@ -253,10 +255,13 @@
 
     void handleRequest();
 
-    //! Nothing is read while a request is being handled; the end of the stream is detected by peeking at the socket.
+    //! Reads ahead while a request is being handled, as the end of the stream is seen only behind the bytes that precede it.
     void watchForDisconnect()
     {
         m_stream.expires_never();
+        if (m_buffer.size() >= maxPipelinedBytes) {
+            return;
+        }
         m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this](beast::error_code error) {
                                          if (!error) {
                                              checkForDisconnect();
@@ -269,7 +274,9 @@
         std::error_code error;
         switch (peekInput(m_stream.socket().native_handle(), error)) {
         case PendingInput::Bytes:
-            break; // The next request has already arrived; the client is still connected.
+            readAvailable(maxPipelinedBytes - m_buffer.size());
+            watchForDisconnect();
+            break;
         case PendingInput::None:
             watchForDisconnect(); // Spurious wake-up.
             break;
@@ -282,6 +289,15 @@
         }
     }
 
+    //! Reads bytes that are known to have arrived, so that this does not block. Returns their number.
+    std::size_t readAvailable(std::size_t maxBytes)
+    {
+        beast::error_code ignored; // The next wait reports it.
+        const std::size_t size = m_stream.socket().read_some(m_buffer.prepare(maxBytes), ignored);
+        m_buffer.commit(size);
+        return size;
+    }
+
     void abandonExchange(CloseReason reason, std::error_code cause)
     {
         close(reason, cause);
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -412,6 +412,37 @@
     }
 }
 
+Test(httpserver, a_client_that_leaves_after_pipelined_bytes_is_noticed)
+{
+    for (const char *pipelined : {"", "\r\n", "GET /next HTTP/1.1\r\nHost: h\r\n\r\n", "GET /ne"}) {
+        std::atomic<int> handled{0};
+        std::atomic<int> disconnects{0};
+        std::promise<void> begun;
+        std::promise<void> gone;
+        asio::io_context context;
+        {
+            ExchangeServer server([&](const auto &exchanges) {
+                exchanges.back()->onDisconnect([&] {
+                    if (++disconnects == 1) {
+                        gone.set_value();
+                    }
+                });
+                if (++handled == 1) {
+                    begun.set_value();
+                }
+            });
+            tcp::socket socket = server.connect(context);
+            send(socket, plainRequest);
+            begun.get_future().wait();
+            send(socket, pipelined);
+            socket.close();
+            cr_expect(gone.get_future().wait_for(patience) == std::future_status::ready, "'%s'", pipelined);
+        }
+        cr_expect_eq(handled, 1);
+        cr_expect_eq(disconnects, 1);
+    }
+}
+
 Test(httpserver, accepting_pauses_while_there_are_no_descriptors)
 {
     asio::io_context context;
