Read on after the last response until the client closes

Clients that were still sending could lose a response: the server closed the connection 200 ms after its last response without reading what had arrived, which resets the connection. A client that sends its whole body before it reads saw a reset instead of 413 or 400.

Change: after the last response, input is read and dropped until the client closes, for 2 s and 2 MiB at most. The memory reserved for the body is released before that.

The test failed before in its three cases: 'a body over the limit: Broken pipe', 'no HTTP: Broken pipe', 'requests after the last: Broken pipe'.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -26,6 +26,9 @@
 constexpr auto writeTimeout = std::chrono::seconds(30);
 //! What is read ahead of the next request while one is being handled.
 constexpr std::size_t maxPipelinedBytes = maxHeaderBytes;
+//! How long, and how much of its input, a client that has been sent its last response is read on.
+constexpr auto lingerTime = std::chrono::seconds(2);
+constexpr std::size_t maxDiscardedBytes = 2 * mebibyte;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 //! Time from the end of the announced idle time until an idle connection is closed.
 constexpr auto idleCloseMargin = std::chrono::seconds(10);
@@ -340,14 +343,31 @@
                           }));
     }
 
-    //! Half-closes the connection first, so that the client can read the response even while it is still sending.
+    //! Half-closes the connection and reads on until the client closes it, too: closing it with unread input would reset it, which
+    //! can destroy the response on its way.
     void closeGracefully()
     {
         enter(ConnectionPhase::Closing);
+        m_reservation.release();
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_idleTimer.expires_after(std::chrono::milliseconds(200));
+        m_stream.expires_never();
+        m_idleTimer.expires_after(lingerTime);
         m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { close(*m_announcedReason); }));
+        discardInput(maxDiscardedBytes);
+    }
+
+    void discardInput(std::size_t maxBytes)
+    {
+        m_buffer.clear();
+        m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this, maxBytes](beast::error_code /*error*/) {
+                                         std::error_code error;
+                                         const PendingInput pending = peekInput(m_stream.socket().native_handle(), error);
+                                         const bool hasBytes = pending == PendingInput::Bytes;
+                                         const std::size_t size = hasBytes ? readAvailable(std::min(maxBytes, maxPipelinedBytes)) : 0;
+                                         const bool mayFollow = (hasBytes && size < maxBytes) || pending == PendingInput::None;
+                                         mayFollow ? discardInput(maxBytes - size) : close(*m_announcedReason);
+                                     }));
     }
 
     void close(CloseReason reason, std::error_code cause = {})
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -443,6 +443,42 @@
     }
 }
 
+Test(httpserver, a_client_that_sends_on_receives_the_last_response_whole)
+{
+    const std::string close = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    const std::string tooLarge = "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+    struct Case
+    {
+        const char *description;
+        std::string start;
+        std::string rest;
+        std::string status;
+    };
+    const Case cases[] = {
+        {"a body over the limit", tooLarge, std::string(1'000'000, 'x'), "HTTP/1.1 413 "},
+        {"no HTTP", "nonsense\r\n\r\n", std::string(300'000, 'x'), "HTTP/1.1 400 "},
+        {"requests after the last", close, std::string(300'000, 'x'), "HTTP/1.1 200 "},
+    };
+    constexpr std::size_t chunkBytes = 10'000;
+    for (const Case &testCase : cases) {
+        CountingServer server;
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        send(socket, testCase.start);
+        // The client goes on sending before it reads.
+        socket.wait(tcp::socket::wait_read);
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        boost::system::error_code sendError;
+        for (std::size_t at = 0; at < testCase.rest.size() && !sendError; at += chunkBytes) {
+            asio::write(socket, asio::buffer(testCase.rest.data() + at, chunkBytes), sendError);
+        }
+        const auto [received, error] = receiveAll(socket);
+        cr_expect_not(sendError, "%s: %s", testCase.description, sendError.message().c_str());
+        cr_expect(error == asio::error::eof, "%s: %s", testCase.description, error.message().c_str());
+        cr_expect_eq(received.find(testCase.status), 0, "%s: '%s'", testCase.description, received.c_str());
+    }
+}
+
 Test(httpserver, accepting_pauses_while_there_are_no_descriptors)
 {
     asio::io_context context;
