Go on after an exception that leaves a handler

An exception that left any handler ended the process and with it all connections, runs and links, without a line in the log.

Change: the event loop reports it - a log line with the exception's type and text under the new code 3012 (NodeFailed), and the counter chervilpaddle_failed_handlers_total - and goes on. Ending in an orderly way was weighed and ruled out: the message that did it may come again, from the caller that repeats it or by way of another node, and would then end one node after the other.

A request whose handler fails is answered with 502 and its client still watched; a link whose frame's handler fails reads on, as the exception is thrown again from a handler of its own.

--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -55,6 +55,7 @@
     AnswerTooLarge = 3009,
     RepeatUndecided = 3010,
     AnswerUnverified = 3011,
+    NodeFailed = 3012,
 
     SettingsUnreadable = 4001,
     SettingUnknown = 4002,
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -204,6 +204,12 @@
     logClosedConnection(m_log, closed);
 }
 
+void MeshCore::handleFailedHandler(const std::string &what)
+{
+    ++m_counters.failedHandlers;
+    logFailedHandler(m_log, what);
+}
+
 void MeshCore::dispatch(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route)
 {
     const RouteTarget &target = m_trafficSplit.next(route);
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -31,6 +31,7 @@
     //! Ended connections of callers by CloseReason, and how many of them left a request without a complete response.
     std::array<std::uint64_t, closeReasonCount> closedConnections{};
     std::uint64_t unansweredRequests = 0;
+    std::uint64_t failedHandlers = 0;
     //! Time from the arrival of a request to its response, by outcome.
     LatencyHistogram servedLatency;
     LatencyHistogram refusedLatency;
@@ -50,6 +51,8 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     //! Counts a caller's connection that has ended, and logs it if a request is left unanswered or the node ended it unasked.
     void handleClosedConnection(const ClosedConnection &closed);
+    //! Counts and logs an exception that has left a handler.
+    void handleFailedHandler(const std::string &what);
     //! Whether the configuration and the instances are known and no shutdown has started.
     bool isReady() const;
     //! Stops accepting work for the backend server beside this node. Requests of callers are still accepted if they can end
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/rcucell.h>
 #include <chervilpaddle/mesh/meshcore.h>
 #include <chervilpaddle/node/nodemetrics.h>
+#include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/httpserver.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -66,7 +67,7 @@
                     {},
                     "service " + m_settings.service.value() + ", callers at " + toText(m_settings.callers)});
         waitForSignal();
-        m_context.run();
+        runEventLoop(m_context, [this](const std::string &what) { m_core.handleFailedHandler(what); });
         m_log.info(
             {"node stopped",
              ResultCode::Success,
@@ -107,8 +108,8 @@
             if (error) {
                 return;
             }
-            signal == SIGHUP ? reload() : beginShutdown();
             waitForSignal();
+            signal == SIGHUP ? reload() : beginShutdown();
         });
     }
 
--- a/src/chervilpaddle/node/logging.cpp
+++ b/src/chervilpaddle/node/logging.cpp
@@ -115,4 +115,9 @@
     }
 }
 
+void logFailedHandler(EventLog &log, const std::string &what)
+{
+    log.error({"handler failed", ResultCode::NodeFailed, {}, what});
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/logging.h
+++ b/src/chervilpaddle/node/logging.h
@@ -64,4 +64,7 @@
 //! Logs the end of a caller's connection if it leaves a request unanswered or was not asked for by the client. Thread-safe.
 void logClosedConnection(EventLog &log, const ClosedConnection &closed);
 
+//! Logs an exception that has left a handler. Thread-safe.
+void logFailedHandler(EventLog &log, const std::string &what);
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -5,6 +5,7 @@
 #include <chervilpaddle/node/nodecore.h>
 #include <chervilpaddle/node/nodemetrics.h>
 #include <chervilpaddle/node/statedump.h>
+#include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/httpserver.h>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -39,11 +40,11 @@
     {
         return m_context;
     }
-    void start()
+    void start(HandlerFailed handlerFailed)
     {
-        m_thread = std::thread([this] {
+        m_thread = std::thread([this, handlerFailed = std::move(handlerFailed)] {
             const rcu::ThreadRegistration registration;
-            m_context.run();
+            runEventLoop(m_context, handlerFailed);
         });
     }
     void stop()
@@ -85,9 +86,10 @@
         if (const std::error_code error = listenAll(); error) {
             return error;
         }
-        m_coreLoop.start();
+        const HandlerFailed handlerFailed = [this](const std::string &what) { logFailedHandler(m_log, what); };
+        m_coreLoop.start(handlerFailed);
         for (EventLoop &loop : m_frontendLoops) {
-            loop.start();
+            loop.start(handlerFailed);
         }
         m_log.info({"node started", ResultCode::Success, {}, toText(m_settings.callers)});
         m_signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
@@ -95,7 +97,7 @@
                 beginShutdown();
             }
         });
-        m_mainContext.run();
+        runEventLoop(m_mainContext, handlerFailed);
         for (EventLoop &loop : m_frontendLoops) {
             loop.stop();
         }
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -40,6 +40,7 @@
         counter("chervilpaddle_caller_requests_unanswered_total",
                 "Requests whose connection ended before the whole answer was sent",
                 counters.unansweredRequests);
+        counter("chervilpaddle_failed_handlers_total", "Exceptions that left a handler", counters.failedHandlers);
         gauge("chervilpaddle_ready", "1 while callers may be sent here", core.isReady() ? 1 : 0);
         gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
         gauge("chervilpaddle_instances_revision",
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -246,6 +246,11 @@
     void reject(ResultCode code, CloseReason reason)
     {
         m_announcedReason = reason;
+        write(lastResponse(code));
+    }
+
+    static HttpResponse lastResponse(ResultCode code)
+    {
         const ResultCodeInfo &row = describe(code);
         HttpResponse response;
         response.status = row.httpStatus;
@@ -253,7 +258,7 @@
         response.headers.add(headers::code, std::to_string(static_cast<int>(code)));
         response.body = row.meaning;
         response.close = true;
-        write(std::move(response));
+        return response;
     }
 
     void handleRequest();
@@ -470,8 +475,14 @@
     request.body = std::move(message.body());
     enter(ConnectionPhase::Handling);
     ++m_exchange;
-    m_state->handler(std::make_shared<SessionExchange>(shared_from_this(), m_exchange, std::move(request)));
     watchForDisconnect();
+    try {
+        m_state->handler(std::make_shared<SessionExchange>(shared_from_this(), m_exchange, std::move(request)));
+    } catch (...) {
+        // Has no effect if the handler has responded before.
+        respond(m_exchange, lastResponse(ResultCode::NodeFailed));
+        throw;
+    }
 }
 
 } // namespace
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -240,7 +240,12 @@
             return;
         }
         m_received.record(frame.message, bytes.size());
-        m_hooks.received(id, std::move(frame));
+        try {
+            m_hooks.received(id, std::move(frame));
+        } catch (...) {
+            // Thrown again by a handler of its own, as websocketpp would not read on.
+            boost::asio::post(m_context, [error = std::current_exception()] { std::rethrow_exception(error); });
+        }
     }
 
     void closeNow(ConnectionId id)
--- a/src/chervilpaddle/transport/timers.cpp
+++ b/src/chervilpaddle/transport/timers.cpp
@@ -19,8 +19,9 @@
 void schedulePeriodically(boost::asio::io_context &context, Duration period, std::function<void()> action)
 {
     scheduleOn(context, period, [&context, period, action = std::move(action)] {
-        action();
+        // Scheduled first, so that an action that fails is run again.
         schedulePeriodically(context, period, action);
+        action();
     });
 }
 
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "descriptorhoard.h"
 #include "endlessbytes.h"
 
+#include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/httpserver.h>
 
 #include <atomic>
@@ -501,3 +502,38 @@
     context.run_for(patience);
     cr_expect(context.stopped());
 }
+
+Test(httpserver, a_request_whose_handler_fails_is_answered_and_the_others_are_served)
+{
+    asio::io_context context;
+    HttpServer::Options options;
+    options.address = {"127.0.0.1", freePort()};
+    HttpServer server({&context}, options, [](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().target == "/answered") {
+            exchange->respond(textResponse(200, "text/plain", "ok"));
+        }
+        if (exchange->request().target != "/plain") {
+            throw std::runtime_error("odd request");
+        }
+        exchange->respond(textResponse(200, "text/plain", "ok"));
+    });
+    cr_assert_not(server.listen());
+    std::atomic<int> reports{0};
+    std::thread thread([&] { runEventLoop(context, [&reports](const std::string & /*what*/) { ++reports; }); });
+    asio::io_context clientContext;
+    const auto connect = [&] {
+        tcp::socket socket(clientContext);
+        socket.connect({asio::ip::make_address(options.address.host), options.address.port});
+        return socket;
+    };
+    tcp::socket other = connect();
+    expectStatusLine(other, "GET /plain HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK");
+    tcp::socket odd = connect();
+    expectStatusLine(odd, "GET /odd HTTP/1.1\r\n\r\n", "HTTP/1.1 502 Bad Gateway");
+    tcp::socket answered = connect();
+    expectStatusLine(answered, "GET /answered HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK");
+    expectStatusLine(other, "GET /plain HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK");
+    context.stop();
+    thread.join();
+    cr_expect_eq(reports, 2);
+}
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -2,6 +2,7 @@
 #include "endlessbytes.h"
 
 #include <chervilpaddle/base/random.h>
+#include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/peertransport.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <functional>
+#include <stdexcept>
 #include <vector>
 
 using namespace chervilpaddle;
@@ -94,6 +96,28 @@
 
 } // namespace
 
+Test(peertransport, an_exception_while_a_frame_is_handled_is_reported_and_keeps_the_link)
+{
+    int received = 0;
+    TransportPair pair([&](const PeerFrame & /*frame*/) {
+        if (++received == 3) {
+            pair.context.stop();
+        }
+        throw std::runtime_error("odd frame");
+    });
+    const ConnectionId link = pair.dial();
+    int reports = 0;
+    asio::steady_timer limit(pair.context, patience);
+    limit.async_wait([&pair](const boost::system::error_code & /*error*/) { pair.context.stop(); });
+    runEventLoop(pair.context, [&](const std::string & /*what*/) {
+        ++reports;
+        pair.send(link, StatusMessage());
+    });
+    cr_expect_eq(received, 3);
+    cr_expect_geq(reports, 2);
+    cr_expect_eq(pair.closed, 0);
+}
+
 Test(peertransport, accepting_pauses_while_there_are_no_descriptors)
 {
     int received = 0;
