End a run that cannot be started

Had a call been such that its request cannot be sent, its node would have started no further calls: the exception left the executor marked as dispatching for good, and the run in its slot with nothing to end it.

Change: such a run ends as NodeFailed, which frees its slot and tells the caller; the mark is that of a scope. The exception is passed on, so that it is logged.

The test failed before: the second call was not started, and the first got no response.

--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -21,6 +21,26 @@
 //! Bounds the queue where deadlines are not enforced.
 constexpr std::size_t maxQueuedCallsPerSlot = 4;
 
+//! Sets a flag for the duration of a scope.
+class ScopedFlag
+{
+public:
+    explicit ScopedFlag(bool &flag)
+        : m_flag(flag)
+    {
+        m_flag = true;
+    }
+    ~ScopedFlag()
+    {
+        m_flag = false;
+    }
+    ScopedFlag(const ScopedFlag &) = delete;
+    ScopedFlag &operator=(const ScopedFlag &) = delete;
+
+private:
+    bool &m_flag;
+};
+
 std::uint64_t contentDigest(const CallMessage &call)
 {
     const std::uint64_t bodyDigest = call.payload.body ? stableHash(*call.payload.body) : 0;
@@ -183,7 +203,7 @@
     if (m_dispatching) {
         return;
     }
-    m_dispatching = true;
+    const ScopedFlag dispatching(m_dispatching);
     const TimePoint now = m_hooks.clock();
     while (!m_queue.isEmpty() && (!m_options.policy.concurrencyLimit || running() < slotLimit())) {
         const QueuedCall next = *m_queue.next(now);
@@ -202,7 +222,6 @@
         startCall(next);
     }
     m_minQueueLength = std::min(m_minQueueLength, m_queue.size());
-    m_dispatching = false;
 }
 
 void Executor::startCall(const QueuedCall &call)
@@ -226,7 +245,13 @@
     m_runOfTicket[call.ticket] = id;
     m_runOfRequest[active.run.call.context.request] = id;
     const Run run = active.run;
-    m_hooks.start(run);
+    try {
+        m_hooks.start(run);
+    } catch (...) {
+        // Nothing else would end the run.
+        completeRun(id, {ResultCode::NodeFailed, {}});
+        throw;
+    }
 }
 
 void Executor::completeRun(RunId id, const BackendResult &result)
--- a/tests/controllers/admission.cpp
+++ b/tests/controllers/admission.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
+#include <stdexcept>
 
 using namespace chervilpaddle;
 using namespace chervilpaddle::support;
@@ -454,3 +455,25 @@
     cr_expect_geq(result.rootsServedInTime * 4, result.roots);
     cr_expect_geq(result.nestedServed * 100, result.nested * 85);
 }
+
+Test(admission, a_run_that_cannot_be_started_ends_and_the_next_one_starts)
+{
+    const ExecutorFixture messages(1);
+    VirtualTime time;
+    int starts = 0;
+    std::vector<ResultCode> codes;
+    const auto start = [&starts](const Run & /*run*/) {
+        if (++starts == 1) {
+            throw std::runtime_error("odd call");
+        }
+    };
+    Executor executor({InstanceId("x-1"), Incarnation(7), 1, fullPolicy(), {}},
+                      {time.clock(), start, [](RunId /*run*/) {}, nullptr, nullptr});
+    const auto reply = [&codes](const ResponseMessage &response) { codes.push_back(response.code); };
+    cr_assert_throw(executor.submit(messages.message(1, 500), Duration::zero(), reply), std::runtime_error);
+    executor.submit(messages.message(2, 500), Duration::zero(), reply);
+    cr_expect_eq(starts, 2);
+    cr_expect_eq(executor.running(), 1);
+    cr_assert_eq(codes.size(), 1);
+    cr_expect_eq(codes.front(), ResultCode::NodeFailed);
+}
