--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -4,6 +4,8 @@
 #include <platform/platformprotocol.h>
 #include <platform/storecalls.h>
 
+#include <chervilpaddle/base/random.h>
+
 #include <criterion/criterion.h>
 
 using namespace chervilpaddle;
@@ -260,3 +262,29 @@
     cr_expect_eq(response.status, 200);
     cr_expect_str_eq(response.body.c_str(), "body");
 }
+
+Test(platform, odd_documents_are_rejected_without_an_exception)
+{
+    const std::string entry = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","slots":108,"state":"ready","sequence":4,)"
+                              R"("born":1700000000000})";
+    const std::string page = R"({"items":[{"key":"servers/i-1","revision":4,"value":"YWJj"}],"has_more":true,"store_revision":7})";
+    const std::string changes = R"({"events":[{"key":"servers/i-1","revision":4,"deleted":true}],"store_revision":7})";
+    const std::string tokens[] = {
+        "null", "-1", "1e308", "1e400", "18446744073709551616", "\"\"", "\"=\"", "[", "]", "{}", ",", "\\u0000", "\xff"};
+    RandomSource random(20261204);
+    const auto changed = [&](std::string text) {
+        for (std::size_t count = 1 + uniformIndex(random, 3); count > 0; --count) {
+            const std::size_t at = uniformIndex(random, text.size());
+            text.replace(at, uniformIndex(random, 12), tokens[uniformIndex(random, std::size(tokens))]);
+        }
+        return text;
+    };
+    for (int i = 0; i < 5000; ++i) {
+        std::string reason;
+        cr_assert_no_throw(decodeRoutes({"op/config", changed(validConfiguration), Revision(5)}, reason), std::exception);
+        cr_assert_no_throw(decodeInstance({"servers/i-1", changed(entry), Revision(3)}, reason), std::exception);
+        cr_assert_no_throw(isHeartbeat({"servers/i-1", entry, Revision(3)}, {"servers/i-1", changed(entry), Revision(4)}), std::exception);
+        cr_assert_no_throw(decodePage(changed(page)), std::exception);
+        cr_assert_no_throw(decodeChanges(changed(changes)), std::exception);
+    }
+}
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "descriptorhoard.h"
 #include "endlessbytes.h"
 
+#include <chervilpaddle/base/random.h>
 #include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/httpserver.h>
 
@@ -444,6 +445,42 @@
     }
 }
 
+Test(httpserver, pipelined_requests_are_answered_in_order_before_the_connection_ends)
+{
+    constexpr int count = 200;
+    CountingServer server;
+    asio::io_context context;
+    tcp::socket socket = server.connect(context);
+    std::string requests;
+    for (int i = 1; i < count; ++i) {
+        requests += plainRequest;
+    }
+    requests += "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    std::thread sender([&] { send(socket, requests); });
+    const auto [received, error] = receiveAll(socket);
+    sender.join();
+    cr_expect(error == asio::error::eof, "%s", error.message().c_str());
+    cr_expect_eq(countOf(received, "HTTP/1.1 200 OK\r\n"), count);
+    cr_expect_eq(server.handled(), count);
+}
+
+Test(httpserver, a_late_response_does_not_reach_the_next_request)
+{
+    ExchangeServer server([](const auto &exchanges) {
+        const std::string target = exchanges.back()->request().target;
+        exchanges.front()->respond(textResponse(target == "/1" ? 200 : 500, "text/plain", target));
+        exchanges.back()->respond(textResponse(200, "text/plain", target));
+        exchanges.back()->respond(textResponse(500, "text/plain", "twice"));
+    });
+    asio::io_context context;
+    tcp::socket socket = server.connect(context);
+    send(socket, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const auto [received, error] = receiveAll(socket);
+    cr_expect_eq(countOf(received, "HTTP/1.1 200 OK\r\n"), 3, "%s", received.c_str());
+    cr_expect_eq(countOf(received, "500"), 0, "%s", received.c_str());
+    cr_expect(received.find("/1") < received.find("/2") && received.find("/2") < received.find("/3"), "%s", received.c_str());
+}
+
 Test(httpserver, a_client_that_sends_on_receives_the_last_response_whole)
 {
     const std::string close = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
@@ -537,3 +574,29 @@
     thread.join();
     cr_expect_eq(reports, 2);
 }
+
+Test(httpserver, odd_requests_end_their_own_connection_only)
+{
+    const std::string requests[] = {
+        "GET /a/b?c=d HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, x\r\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: t\r\n\r\n",
+        "TRACE * HTTP/1.0\r\nConnection: keep-alive\r\n\r\nHEAD / HTTP/1.1\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n",
+    };
+    const std::string tokens[] = {"\r\n", "\n", " ", ":", ";", "0", "-1", "18446744073709551616", "chunked", "\xff", std::string(1, '\0')};
+    CountingServer server;
+    asio::io_context context;
+    tcp::socket other = server.connect(context);
+    RandomSource random(20261204);
+    for (int i = 0; i < 1000; ++i) {
+        std::string request = requests[uniformIndex(random, std::size(requests))];
+        for (std::size_t count = 1 + uniformIndex(random, 3); count > 0; --count) {
+            const std::size_t at = uniformIndex(random, request.size());
+            request.replace(at, uniformIndex(random, 6), tokens[uniformIndex(random, std::size(tokens))]);
+        }
+        tcp::socket socket = server.connect(context);
+        send(socket, request);
+        socket.shutdown(tcp::socket::shutdown_send);
+        receiveAll(socket);
+    }
+    expectStatusLine(other, plainRequest, "HTTP/1.1 200 OK");
+}
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -96,6 +96,68 @@
 
 } // namespace
 
+Test(peertransport, odd_handshakes_and_frames_end_their_own_connection_only)
+{
+    const std::string starts[] = {
+        "",
+        "\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h:99999999999999999999\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h:-1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: [::1\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 18446744073709551616\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\n: nameless\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n12345678",
+        draftUpgrade("1", "x"),
+        upgrade("-1"),
+        upgrade("7"),
+        upgrade("8"),
+        upgrade("x"),
+        upgrade("99999999999999999999"),
+        upgrade("13"),
+        upgrade("13", "Sec-WebSocket-Extensions: permessage-deflate; =\"\r\n"),
+        upgrade("13", "Sec-WebSocket-Protocol: ,,;=\r\n"),
+        upgrade("13", "Sec-WebSocket-Protocol: a\r\nSec-WebSocket-Protocol: b\r\nOrigin: \xff\r\n"),
+    };
+    const std::string frames[] = {
+        std::string("\x88\x80\0\0\0\0", 6), // a close without a code
+        std::string("\x88\x81\0\0\0\0x", 7), // a close with half a code
+        std::string("\x88\x82\0\0\0\0\xff\xff", 8), // a close with an invalid code
+        std::string("\x89\xfe\x10\0", 4), // a ping over the size of control frames
+        std::string("\x82\xff\xff\xff\xff\xff\xff\xff\xff\xff\0\0\0\0", 14), // the largest length
+        std::string("\x82\x80\0\0\0\0", 6), // an empty message
+        std::string("\x81\x81\0\0\0\0\xff", 7), // a text that is not UTF-8
+        std::string("\x80\x80\0\0\0\0", 6), // a continuation of nothing
+        std::string("\x82\0", 2), // not masked
+        std::string("\xf2\x80\0\0\0\0", 6), // reserved bits
+    };
+    int received = 0;
+    TransportPair pair([&received](const PeerFrame & /*frame*/) { ++received; });
+    pair.dial();
+    RandomSource random(20261204);
+    asio::io_context clientContext;
+    for (const std::string &start : starts) {
+        std::vector<std::string> ends = {"", randomBytes(random, 40), randomBytes(random, 400)};
+        ends.insert(ends.end(), std::begin(frames), std::end(frames));
+        for (const std::string &end : ends) {
+            tcp::socket socket(clientContext);
+            socket.connect({asio::ip::make_address(pair.address.host), pair.address.port});
+            boost::system::error_code ignored;
+            asio::write(socket, asio::buffer(start), ignored);
+            pair.context.poll();
+            asio::write(socket, asio::buffer(end), ignored);
+            pair.context.poll();
+            socket.close();
+            pair.context.poll();
+        }
+    }
+    cr_expect_eq(received, 1);
+    pair.dial();
+    while (received < 2 && pair.context.run_one_for(patience) > 0) { }
+    cr_expect_eq(received, 2);
+}
+
 Test(peertransport, an_exception_while_a_frame_is_handled_is_reported_and_keeps_the_link)
 {
     int received = 0;
