Let each call that a stopping node takes end before the node does

Callers of a node in a planned stop saw their connections closed without an answer 5.5 s after SIGTERM, at a grace period of 6 s, while backend servers were at work on their requests, also on ones that may not be repeated. Runs in progress at the backend server beside the node failed with 500 though their calls would have taken milliseconds.

Cause: for 3 s every call was taken with the deadline of its caller, also one after the end of the process. After that a call was taken up to a deadline at the very moment at which the process closes, which leaves no time for the answer of a backend server that stops there, and calls of runs were refused by their time-outs like those of callers.

GracefulShutdown now returns the deadline with which a call may start: at the latest 0.25 s before connections are closed. In the first 3 s, and for calls of runs in progress, a later deadline is shortened to that, so that the backend server gives up in time and its own answer gets through. Callers after 3 s are still refused as not run, since they can come back, and a call that is broken off may have run.

The environment stand-in gets callers that keep connections to a node that is being stopped, and its backend servers stop work at the deadline that they are given.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -227,10 +227,13 @@
         return;
     }
     OutboundCall outbound = makeOutboundCall(incoming, route, target, parentRun);
-    if (!m_shutdown.admitsCall(m_clock(), outbound.deadline)) {
+    const auto origin = parentRun != nullptr ? GracefulShutdown::CallOrigin::Run : GracefulShutdown::CallOrigin::Caller;
+    const auto deadline = m_shutdown.admitCall(m_clock(), outbound.deadline, origin);
+    if (!deadline) {
         completeRequest(pending, refusedResult(ResultCode::Leaving));
         return;
     }
+    outbound.deadline = *deadline;
     m_retryBudget.recordRequest(target.service);
     if (outbound.context.branchMayHaveRun) {
         m_retryBudget.recordInheritedRetry(target.service);
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -24,6 +24,17 @@
 constexpr Duration outageDuration = std::chrono::seconds(2);
 //! Minimum fraction of requests that must be served in spite of the faults.
 constexpr double minimumServedShare = 0.9;
+constexpr Duration longRouteTimeout = std::chrono::seconds(10);
+//! The stopped instance is stopped this long after the start of the load.
+constexpr Duration stopDelay = std::chrono::seconds(1);
+constexpr Duration probeInterval = std::chrono::milliseconds(5);
+//! Grace beyond the deadline of a call for its answer.
+constexpr Duration answerGracePeriod = std::chrono::seconds(1);
+//! The calls of these requests' runs come late in the grace period of the stopped instance, with time-outs that end after it.
+constexpr int requestsAcrossStop = 9;
+const std::string pathAcrossStop = "/long/4200";
+const std::string pathBeyondStop = "/long/20000";
+constexpr Duration timeoutAcrossStop = std::chrono::seconds(8);
 const std::string host = "world.example";
 const std::string drainedInstance = "outer-2";
 
@@ -39,6 +50,15 @@
     bool isEnded = false;
 };
 
+//! A call to the instance that is being stopped.
+struct MeshEnvironment::StopCall
+{
+    Duration afterStop{};
+    bool isIdempotent = false;
+    std::string path;
+    Duration timeout{};
+};
+
 MeshEnvironment::MeshEnvironment(boost::asio::io_context &context, MeshEnvironmentOptions options)
     : m_context(context)
     , m_options(std::move(options))
@@ -111,16 +131,22 @@
 
 void MeshEnvironment::publishRoutes(int version, const std::string &extraService)
 {
-    const auto rule = [](const char *name, const char *kind, const char *prefix, const std::string &service, int priority) {
+    const auto rule = [](const char *name,
+                         const char *kind,
+                         const char *prefix,
+                         const std::string &service,
+                         int priority,
+                         double timeout = routeTimeoutSeconds) {
         return nlohmann::json{{"name", name},
                               {"kind", kind},
                               {"target_latency_s", 1},
                               {"priority", priority},
                               {"match", {{"prefix", prefix}}},
-                              {"action", {{"service", service}, {"timeout_s", routeTimeoutSeconds}, {"attempts", 2}}}};
+                              {"action", {{"service", service}, {"timeout_s", timeout}, {"attempts", 2}}}};
     };
     const nlohmann::json rules = {rule("look", "idempotent", "/look/", "outer", 1),
                                   rule("pay", "non_idempotent", "/pay/", "outer", 0),
+                                  rule("long", "non_idempotent", "/long/", "outer", 0, toSeconds(longRouteTimeout)),
                                   rule("extra", "idempotent", "/extra/", extraService, 1),
                                   rule("inner", "idempotent", "/inner/", "inner", 2)};
     const nlohmann::json listeners = nlohmann::json::array({{{"host", host}, {"rules", rules}}});
@@ -164,6 +190,9 @@
             std::fflush(stdout);
             m_loadStart = steadyClock()();
             scheduleEvents();
+            if (!m_options.stoppedInstance.empty()) {
+                prepareStop();
+            }
             sendNext();
         });
     }
@@ -199,7 +228,7 @@
 void MeshEnvironment::sendNext()
 {
     if (steadyClock()() - m_loadStart >= m_options.length) {
-        after(callerTimeout, [this] { m_done(check()); });
+        after(callerTimeout + answerGracePeriod, [this] { m_done(check()); });
         return;
     }
     std::size_t node = 0;
@@ -212,23 +241,112 @@
 }
 
 void MeshEnvironment::sendRequest(std::size_t node, bool isIdempotent, const std::string &path)
+{
+    const std::string id = "r" + std::to_string(m_sentRequests.size());
+    m_sentRequests.push_back(send(*m_callers[node], id, isIdempotent, path, callerTimeout));
+}
+
+std::shared_ptr<MeshEnvironment::SentRequest>
+MeshEnvironment::send(HttpClient &caller, const std::string &id, bool isIdempotent, const std::string &path, Duration timeout)
 {
     auto sent = std::make_shared<SentRequest>();
-    sent->id = "r" + std::to_string(m_sentRequests.size());
+    sent->id = id;
     sent->isIdempotent = isIdempotent;
     sent->at = steadyClock()();
-    m_sentRequests.push_back(sent);
     HttpRequest request;
     request.method = isIdempotent ? "GET" : "POST";
     request.target = path;
     request.headers.add("Host", host);
     request.headers.add("Request-Id", sent->id);
-    request.headers.add("Deadline-Milliseconds", std::to_string(callerTimeout / std::chrono::milliseconds(1)));
+    request.headers.add("Deadline-Milliseconds", std::to_string(timeout / std::chrono::milliseconds(1)));
     request.body = isIdempotent ? "" : "a body";
-    m_callers[node]->send(std::move(request), callerTimeout, [sent](const HttpResult &result) {
+    caller.send(std::move(request), timeout + answerGracePeriod, [sent](const HttpResult &result) {
         sent->result = result;
         sent->isEnded = true;
     });
+    return sent;
+}
+
+std::size_t MeshEnvironment::indexOf(const std::string &instance) const
+{
+    const auto found =
+        std::find_if(m_backends.begin(), m_backends.end(), [&instance](const auto &backend) { return backend->options().id == instance; });
+    return static_cast<std::size_t>(found - m_backends.begin());
+}
+
+std::vector<MeshEnvironment::StopCall> MeshEnvironment::stopCalls(const std::string &kind)
+{
+    using std::chrono::milliseconds;
+    std::vector<StopCall> calls;
+    if (kind == "stuck") {
+        return calls;
+    }
+    if (kind == "quiet") {
+        // An idle process decides to exit 3.2 to 3.25 s after the signal.
+        for (milliseconds at(3255); at < milliseconds(3375); at += milliseconds(2)) {
+            const bool isIdempotent = calls.size() % 2 == 1;
+            calls.push_back({at, isIdempotent, isIdempotent ? "/look/1" : "/pay/1", callerTimeout});
+        }
+        return calls;
+    }
+    for (milliseconds at(0); at < milliseconds(5900); at += milliseconds(15)) {
+        const bool isIdempotent = calls.size() % 2 == 1;
+        calls.push_back({at, isIdempotent, isIdempotent ? "/look/1" : "/pay/1", callerTimeout});
+        if (calls.size() % 20 == 0) {
+            calls.push_back({at, false, pathBeyondStop, longRouteTimeout});
+        }
+    }
+    return calls;
+}
+
+void MeshEnvironment::prepareStop()
+{
+    const std::vector<StopCall> calls = stopCalls(m_options.stopCalls);
+    const std::size_t stopped = indexOf(m_options.stoppedInstance);
+    const HttpClient::Options options{m_backends[stopped]->options().node, maximumBodyBytes};
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+        m_stopCallers.push_back(std::make_unique<HttpClient>(m_context, options));
+        m_stopRequests.push_back(send(*m_stopCallers.back(), "w" + std::to_string(i), true, "/inner/1", callerTimeout));
+    }
+    Endpoint readiness = options.address;
+    readiness.port = static_cast<std::uint16_t>(m_options.port + 3);
+    m_prober = std::make_unique<HttpClient>(m_context, HttpClient::Options{readiness, maximumBodyBytes});
+    after(stopDelay, [this, calls, stopped] {
+        if (m_options.stopCalls == "late") {
+            for (int i = 0; i < requestsAcrossStop; ++i) {
+                const std::size_t other = static_cast<std::size_t>(i) % (m_callers.size() - 1);
+                HttpClient &caller = *m_callers[(stopped + 1 + other) % m_callers.size()];
+                m_requestsAcrossStop.push_back(send(caller, "x" + std::to_string(i), false, pathAcrossStop, timeoutAcrossStop));
+            }
+        }
+        if (m_options.stopCalls == "stuck") {
+            for (int i = 0; i < requestsAcrossStop; ++i) {
+                const std::string id = "s" + std::to_string(i);
+                m_stopRequests.push_back(send(*m_callers[stopped], id, false, pathBeyondStop, longRouteTimeout));
+            }
+        }
+        std::printf("stop now\n");
+        std::fflush(stdout);
+        waitForStop(calls);
+    });
+}
+
+//! The shutdown has begun when the node is no longer ready.
+void MeshEnvironment::waitForStop(const std::vector<StopCall> &calls)
+{
+    HttpRequest request;
+    request.target = "/readiness";
+    m_prober->send(std::move(request), callerTimeout, [this, calls](const HttpResult &result) {
+        if (result.stage == HttpStage::Complete && result.response.status == 200) {
+            after(probeInterval, [this, calls] { waitForStop(calls); });
+            return;
+        }
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            after(calls[i].afterStop, [this, i, call = calls[i]] {
+                m_stopRequests.push_back(send(*m_stopCallers[i], "s" + std::to_string(i), call.isIdempotent, call.path, call.timeout));
+            });
+        }
+    });
 }
 
 void MeshEnvironment::reportViolation(int &violations, const std::string &description) const
@@ -241,7 +359,7 @@
 
 int MeshEnvironment::check()
 {
-    const int violations = checkRuns() + checkDrain() + checkRoute();
+    const int violations = checkRuns() + checkDrain() + checkRoute() + checkStop();
     std::map<std::string, int> resultCounts;
     int served = 0;
     for (const auto &sent : m_sentRequests) {
@@ -273,20 +391,58 @@
             ++runs[run.request];
         }
     }
-    for (const auto &sent : m_sentRequests) {
-        const HttpResponse &response = sent->result.response;
-        const bool isWhole = sent->result.stage == HttpStage::Complete;
-        if (isWhole && response.status == 200 && response.body != PlainBackend::bodyFor(sent->id)) {
-            reportViolation(violations, sent->id + " got the response to another request");
-        }
-        if (isWhole && response.status == 503 && runs[sent->id] > 0) {
-            reportViolation(violations, sent->id + " was reported as not run but ran");
+    for (const auto *requests : {&m_sentRequests, &m_stopRequests, &m_requestsAcrossStop}) {
+        for (const auto &sent : *requests) {
+            violations += checkRun(*sent, runs[sent->id]);
         }
-        if (!isWhole && sent->result.stage != HttpStage::NotSent && runs[sent->id] > 0) {
-            reportViolation(violations, sent->id + " ran but its response was lost");
-        }
-        if (!sent->isIdempotent && runs[sent->id] > 1) {
-            reportViolation(violations, sent->id + " ran " + std::to_string(runs[sent->id]) + " times");
+    }
+    return violations;
+}
+
+int MeshEnvironment::checkRun(const SentRequest &sent, int runs)
+{
+    int violations = 0;
+    const HttpResponse &response = sent.result.response;
+    const bool isWhole = sent.result.stage == HttpStage::Complete;
+    if (isWhole && response.status == 200 && response.body != PlainBackend::bodyFor(sent.id)) {
+        reportViolation(violations, sent.id + " got the response to another request");
+    }
+    if (isWhole && response.status == 503 && runs > 0) {
+        reportViolation(violations, sent.id + " was reported as not run but ran");
+    }
+    if (!isWhole && sent.result.stage != HttpStage::NotSent && runs > 0) {
+        reportViolation(violations, sent.id + " ran but its response was lost");
+    }
+    if (!sent.isIdempotent && runs > 1) {
+        reportViolation(violations, sent.id + " ran " + std::to_string(runs) + " times");
+    }
+    return violations;
+}
+
+//! Checks that calls sent to the stopped instance are answered by their backend servers or refused, and that the runs beside it
+//! that were in progress could finish. Prints the answers.
+int MeshEnvironment::checkStop()
+{
+    int violations = 0;
+    if (m_options.stoppedInstance.empty()) {
+        return violations;
+    }
+    std::map<std::string, int> resultCounts;
+    for (const auto &sent : m_stopRequests) {
+        const bool isWhole = sent->result.stage == HttpStage::Complete;
+        const bool isSent = sent->result.stage != HttpStage::NotSent;
+        const bool isOfBackend = sent->result.response.headers.find("Response-Signature") != nullptr;
+        const std::string status = std::to_string(sent->result.response.status) + (isOfBackend ? "" : " of the node");
+        ++resultCounts[isWhole ? status : (isSent ? "closed" : "no connection")];
+    }
+    std::printf("%zu requests to the stopped instance", m_stopRequests.size());
+    for (const auto &[result, count] : resultCounts) {
+        std::printf(", %s: %d", result.c_str(), count);
+    }
+    std::printf("\n");
+    for (const auto &sent : m_requestsAcrossStop) {
+        if (sent->result.stage != HttpStage::Complete || sent->result.response.status != 200) {
+            reportViolation(violations, sent->id + " was in progress at the stop and got " + std::to_string(sent->result.response.status));
         }
     }
     return violations;
--- a/standins/meshenvironment.h
+++ b/standins/meshenvironment.h
@@ -27,6 +27,12 @@
     std::set<std::string> events;
     //! Instances to which callers do not send, since the test script stops or kills them.
     std::set<std::string> sparedInstances;
+    //! The instance that the test script stops as soon as the environment has printed "stop now"; empty: none.
+    std::string stoppedInstance;
+    //! When callers of the stopped instance send on the connections that they kept: "quiet" (only once it may have decided to
+    //! exit), "late" (all the time, also calls that take longer than the process has left) or "stuck" (just before the stop, calls
+    //! that outlast the process).
+    std::string stopCalls = "quiet";
 };
 
 //! The environment of a few real nodes that serve plain HTTP, in one process: the store, the backend servers and the
@@ -45,6 +51,7 @@
 
 private:
     struct SentRequest;
+    struct StopCall;
 
     void addBackend(const std::string &name, const std::string &service, const std::string &dataCentre);
     void publishInstance(const std::string &id, const std::string &state);
@@ -52,10 +59,18 @@
     void waitForNodes();
     void sendNext();
     void sendRequest(std::size_t node, bool isIdempotent, const std::string &path);
+    std::shared_ptr<SentRequest>
+    send(HttpClient &caller, const std::string &id, bool isIdempotent, const std::string &path, Duration timeout);
+    std::size_t indexOf(const std::string &instance) const;
+    static std::vector<StopCall> stopCalls(const std::string &kind);
+    void prepareStop();
+    void waitForStop(const std::vector<StopCall> &calls);
     void scheduleEvents();
     void after(Duration delay, std::function<void()> action);
     int check();
     int checkRuns();
+    int checkRun(const SentRequest &sent, int runs);
+    int checkStop();
     int checkDrain();
     int checkRoute();
     void reportViolation(int &violations, const std::string &description) const;
@@ -68,6 +83,12 @@
     std::vector<std::string> m_dataCentres;
     std::vector<std::unique_ptr<HttpClient>> m_callers;
     std::vector<std::shared_ptr<SentRequest>> m_sentRequests;
+    //! Callers of the stopped instance; each sends on a connection of its own.
+    std::vector<std::unique_ptr<HttpClient>> m_stopCallers;
+    std::unique_ptr<HttpClient> m_prober;
+    std::vector<std::shared_ptr<SentRequest>> m_stopRequests;
+    //! Sent before the stop through other nodes, and still running while it is in progress.
+    std::vector<std::shared_ptr<SentRequest>> m_requestsAcrossStop;
     std::function<void(int)> m_done;
     TimePoint m_loadStart;
     TimePoint m_drainedAt;
--- a/standins/plainbackend.cpp
+++ b/standins/plainbackend.cpp
@@ -1,6 +1,8 @@
 #include "plainbackend.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
 
 namespace chervilpaddle::standins {
 
@@ -8,6 +10,7 @@
 
 constexpr std::size_t maximumBodyBytes = 1 * mebibyte;
 constexpr Duration callTimeout = std::chrono::seconds(2);
+const std::string longPathPrefix = "/long/";
 
 } // namespace
 
@@ -62,8 +65,21 @@
         return;
     }
     m_runs.push_back({work->request, exchange->request().target, steadyClock()()});
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_options.serviceTime);
-    timer->async_wait([this, timer, work](const boost::system::error_code & /*error*/) { callNext(work); });
+    const Duration serviceTime = serviceTimeOf(exchange->request());
+    const std::string *deadline = exchange->request().headers.find("Deadline-Milliseconds");
+    const Duration remaining = deadline == nullptr ? serviceTime : std::chrono::milliseconds(std::strtoll(deadline->c_str(), nullptr, 10));
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::min(serviceTime, remaining));
+    timer->async_wait([this, timer, work, isInTime = serviceTime <= remaining](const boost::system::error_code & /*error*/) {
+        isInTime ? callNext(work) : answer(*work, 504);
+    });
+}
+
+Duration PlainBackend::serviceTimeOf(const HttpRequest &request) const
+{
+    if (request.target.rfind(longPathPrefix, 0) != 0) {
+        return m_options.serviceTime;
+    }
+    return std::chrono::milliseconds(std::strtoll(request.target.c_str() + longPathPrefix.size(), nullptr, 10));
 }
 
 void PlainBackend::callNext(const std::shared_ptr<Work> &work)
@@ -90,7 +106,7 @@
     response.status = status;
     response.headers.add("Request-Id", work.request);
     response.headers.add("Response-Signature", "signed by " + m_options.id);
-    response.body = status == 200 ? bodyFor(work.request) : "a call failed";
+    response.body = status == 200 ? bodyFor(work.request) : (status == 504 ? "the deadline passed" : "a call failed");
     work.exchange->respond(std::move(response));
 }
 
--- a/standins/plainbackend.h
+++ b/standins/plainbackend.h
@@ -13,7 +13,8 @@
 namespace chervilpaddle::standins {
 
 //! A stand-in for a backend server with plain HTTP: works for the service time, calls another service through its node
-//! and signs its response. Records its runs for the checks. Single-threaded.
+//! and signs its response. Requests for /long/MILLISECONDS take that long instead. Stops work at the deadline that it was given.
+//! Records its runs for the checks. Single-threaded.
 class PlainBackend
 {
 public:
@@ -51,6 +52,7 @@
     struct Work;
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    Duration serviceTimeOf(const HttpRequest &request) const;
     void callNext(const std::shared_ptr<Work> &work);
     void answer(const Work &work, int status);
 
