Take nothing once a node has decided to exit, and exit when all is written

Callers that sent a request on a kept connection just after a node in a calm planned stop had decided to exit saw the connection closed without an answer, though the request had been passed on and ran, also where it may not be repeated.

Cause: the decision to exit (nothing in flight, no request for 0.5 s, 3.2 s after SIGTERM) was followed by a fixed time of 100 ms to flush responses. In that time open connections were still read, and calls were admitted and passed on, as their deadlines came before the latest exit. The same fixed time cut responses to callers that read slowly.

After the decision GracefulShutdown admits nothing. HttpServer:: beginClosing() closes the connections on which no request has arrived, without reading, and answers and closes the others; requests that have arrived are refused as not run. The process exits when no caller's connection is left, 0.2 s before the end of the grace period at the latest, instead of after a fixed time.

The two tests of HttpServer are for a function that did not exist.

--- a/src/chervilpaddle/controllers/gracefulshutdown.cpp
+++ b/src/chervilpaddle/controllers/gracefulshutdown.cpp
@@ -34,12 +34,12 @@
 
 std::optional<TimePoint> GracefulShutdown::admitCall(TimePoint now, TimePoint deadline, CallOrigin origin) const
 {
-    if (!m_startedAt || deadline <= m_latestDeadline) {
+    if (!m_startedAt || (deadline <= m_latestDeadline && !m_isClosing)) {
         return deadline;
     }
     // A shorter deadline is better than a refusal for a call that is likely to end sooner and would not come back.
     const bool mayBeShortened = origin == CallOrigin::Run || now - *m_startedAt < unconditionalAdmission;
-    if (!mayBeShortened || now >= m_latestDeadline) {
+    if (m_isClosing || !mayBeShortened || now >= m_latestDeadline) {
         return std::nullopt;
     }
     return m_latestDeadline;
@@ -50,6 +50,11 @@
     return now >= m_latestClose || (isIdle && now - *m_startedAt >= minShutdownDuration);
 }
 
+void GracefulShutdown::beginClosing()
+{
+    m_isClosing = true;
+}
+
 TimePoint GracefulShutdown::latestExit() const
 {
     return m_latestExit;
--- a/src/chervilpaddle/controllers/gracefulshutdown.h
+++ b/src/chervilpaddle/controllers/gracefulshutdown.h
@@ -27,11 +27,14 @@
     //! Whether the process may begin to close: either callers have had time to stop sending and no call is in flight, or calls in
     //! flight cannot be waited for any longer. Precondition: the shutdown has started.
     bool isComplete(TimePoint now, bool isIdle) const;
+    //! Ends admission: what arrives while connections are being closed is refused. Precondition: the shutdown has started.
+    void beginClosing();
     //! The latest time at which the process exits. Precondition: the shutdown has started.
     TimePoint latestExit() const;
 
 private:
     std::optional<TimePoint> m_startedAt;
+    bool m_isClosing = false;
     TimePoint m_latestDeadline;
     TimePoint m_latestClose;
     TimePoint m_latestExit;
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -630,11 +630,17 @@
     return m_executor->running() == 0 && m_router->outstanding() == 0;
 }
 
-void MeshCore::closeConnections()
+void MeshCore::beginClosing()
 {
+    m_shutdown.beginClosing();
     m_transport->shutdown();
 }
 
+bool MeshCore::isExitDue() const
+{
+    return m_clock() >= m_shutdown.latestExit();
+}
+
 HelloMessage MeshCore::hello() const
 {
     HelloMessage hello;
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -19,8 +19,9 @@
 constexpr Duration shutdownPollInterval = std::chrono::milliseconds(50);
 //! During shutdown, callers count as gone once their connections have been idle for this long.
 constexpr auto callerQuietTime = std::chrono::milliseconds(500);
-//! Time to flush the last responses to the sockets.
-constexpr Duration flushTime = std::chrono::milliseconds(100);
+constexpr Duration closingPollInterval = std::chrono::milliseconds(10);
+//! Time for the last messages to peers to be written.
+constexpr Duration peerFlushTime = std::chrono::milliseconds(100);
 constexpr std::size_t maxOperatorBodyBytes = 64 * kibibyte;
 constexpr std::size_t maxConnections = 3000;
 //! Total size of buffered request bodies; bounds their share of the machine's memory.
@@ -164,14 +165,14 @@
         m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
             const bool isIdle = m_core.isIdle() && m_callers.hasBeenIdleFor(callerQuietTime);
             if (m_core.isShutdownComplete(isIdle)) {
-                finishShutdown();
+                beginClosing();
             } else {
                 pollShutdown();
             }
         });
     }
 
-    void finishShutdown()
+    void beginClosing()
     {
         if (!m_core.isIdle()) {
             m_log.warn({"graceful shutdown gives up work in flight",
@@ -180,12 +181,22 @@
                         std::to_string(m_core.executor().running()) + " runs and " + std::to_string(m_core.router().outstanding())
                             + " outbound calls"});
         }
-        m_callers.stopAccepting();
-        m_readiness.stopAccepting();
-        m_operators.stopAccepting();
-        m_core.closeConnections();
-        m_timer.expires_after(flushTime);
-        m_timer.async_wait([this](const boost::system::error_code & /*error*/) { m_context.stop(); });
+        m_core.beginClosing();
+        for (HttpServer *server : {&m_callers, &m_readiness, &m_operators}) {
+            server->beginClosing();
+        }
+        m_closingSince = steadyClock()();
+        pollClosing();
+    }
+
+    //! The process exits when callers have their responses, however slowly they read them.
+    void pollClosing()
+    {
+        m_timer.expires_after(closingPollInterval);
+        m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
+            const bool areResponsesWritten = !m_callers.hasConnections() && steadyClock()() - m_closingSince >= peerFlushTime;
+            areResponsesWritten || m_core.isExitDue() ? m_context.stop() : pollClosing();
+        });
     }
 
     const rcu::ThreadRegistration m_registration;
@@ -201,6 +212,7 @@
     HttpServer m_operators;
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
+    TimePoint m_closingSince;
 };
 
 MeshNode::MeshNode(const NodeSettings &settings, PlatformProtocol protocol, Reload reload)
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http.hpp>
 #include <chervilpaddle/base/resultcode.h>
 #include <chrono>
+#include <map>
+#include <mutex>
 #include <optional>
 
 namespace chervilpaddle {
@@ -39,14 +41,20 @@
     return !isInterim && status != http::status::no_content && status != http::status::not_modified;
 }
 
+class Session;
+
 //! State shared by all connections of a server.
 struct ServerState
 {
+    //! Connections that are open or about to be.
+    std::mutex sessionsMutex;
+    std::map<Session *, std::weak_ptr<Session>> sessions;
     HttpServer::Options options;
     HttpServer::Handler handler;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::int64_t> bodyBytes{0};
     std::atomic<bool> closeAfterResponses{false};
+    std::atomic<bool> isClosing{false};
     std::atomic<std::chrono::steady_clock::time_point> lastRead{std::chrono::steady_clock::now()};
 };
 
@@ -99,6 +107,8 @@
     }
     ~Session()
     {
+        const std::lock_guard lock(m_state->sessionsMutex);
+        m_state->sessions.erase(this);
         --m_state->connections;
     }
     Session(const Session &) = delete;
@@ -106,9 +116,25 @@
 
     void start()
     {
+        {
+            const std::lock_guard lock(m_state->sessionsMutex);
+            m_state->sessions[this] = weak_from_this();
+        }
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         waitForRequest();
+        // A connection that is accepted while the server is being closed is not in the list that beginClosing() goes through.
+        if (m_state->isClosing) {
+            closeIfIdle();
+        }
+    }
+
+    //! Must run on the connection's thread.
+    void closeIfIdle()
+    {
+        if (m_phase == ConnectionPhase::Idle) {
+            closeUnlessRequested(CloseReason::Shutdown);
+        }
     }
 
     //! May be called from any thread.
@@ -121,6 +147,11 @@
         });
     }
 
+    auto executor()
+    {
+        return m_stream.get_executor();
+    }
+
     void onDisconnect(std::function<void()> handler)
     {
         m_disconnectHandler = std::move(handler);
@@ -160,21 +191,21 @@
         enter(ConnectionPhase::Idle);
         m_openRequest = RequestId();
         m_idleTimer.expires_after(m_state->options.idleTimeout);
-        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { handleIdleTimeout(); }));
+        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { closeUnlessRequested(CloseReason::IdleTimeout); }));
         m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this](beast::error_code error) {
                                          error ? close(CloseReason::ReadError, error) : readHeader();
                                      }));
     }
 
-    //! A request that has arrived is served, though it is noticed only after the timeout: the wait for input is about to end.
-    void handleIdleTimeout()
+    //! A request that has arrived is served, though it has not been noticed yet: the wait for input is about to end.
+    void closeUnlessRequested(CloseReason reason)
     {
         std::error_code error;
         switch (peekInput(m_stream.socket().native_handle(), error)) {
         case PendingInput::Bytes:
             break;
         case PendingInput::None:
-            close(CloseReason::IdleTimeout);
+            close(reason);
             break;
         case PendingInput::EndOfStream:
             close(CloseReason::ClientClosed);
@@ -527,12 +558,39 @@
         m_state->closeAfterResponses = true;
     }
 
+    void beginClosing()
+    {
+        m_state->closeAfterResponses = true;
+        m_state->isClosing = true;
+        stopAccepting();
+        for (const auto &session : openSessions()) {
+            asio::post(session->executor(), [session] { session->closeIfIdle(); });
+        }
+    }
+
+    bool hasConnections() const
+    {
+        return m_state->connections > 0;
+    }
+
     bool hasBeenIdleFor(std::chrono::milliseconds duration) const
     {
         return m_state->connections == 0 || std::chrono::steady_clock::now() - m_state->lastRead.load() > duration;
     }
 
 private:
+    std::vector<std::shared_ptr<Session>> openSessions() const
+    {
+        std::vector<std::shared_ptr<Session>> open;
+        const std::lock_guard lock(m_state->sessionsMutex);
+        for (const auto &[key, session] : m_state->sessions) {
+            if (auto locked = session.lock(); locked) {
+                open.push_back(std::move(locked));
+            }
+        }
+        return open;
+    }
+
     asio::io_context &nextContext()
     {
         return *m_contexts[m_nextContext++ % m_contexts.size()];
@@ -630,6 +688,16 @@
     m_impl->closeAfterResponses();
 }
 
+void HttpServer::beginClosing()
+{
+    m_impl->beginClosing();
+}
+
+bool HttpServer::hasConnections() const
+{
+    return m_impl->hasConnections();
+}
+
 bool HttpServer::hasBeenIdleFor(std::chrono::milliseconds duration) const
 {
     return m_impl->hasBeenIdleFor(duration);
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -68,6 +68,11 @@
     void stopAccepting();
     //! Closes each connection after its next response. May be called from any thread.
     void closeAfterResponses();
+    //! Stops accepting connections, closes those on which no request has arrived and the others after their next response. May be
+    //! called from any thread.
+    void beginClosing();
+    //! Returns whether connections are open. May be called from any thread.
+    bool hasConnections() const;
     //! Returns whether no connection is open or no request has arrived for this long. May be called from any thread.
     bool hasBeenIdleFor(std::chrono::milliseconds duration) const;
 
--- a/tests/controllers/gracefulshutdown.cpp
+++ b/tests/controllers/gracefulshutdown.cpp
@@ -130,6 +130,23 @@
     }
 }
 
+//! Guards against a call that arrives between the decision to exit and the exit.
+Test(gracefulshutdown, nothing_is_admitted_while_connections_are_being_closed)
+{
+    const TimePoint start;
+    GracefulShutdown shutdown = startedAt(start);
+    cr_assert(shutdown.isComplete(start + 3200ms, true));
+    shutdown.beginClosing();
+    int admitted = 0;
+    for (const CallOrigin origin : origins) {
+        for (Duration arrival = 0ms; arrival <= gracePeriod; arrival += 50ms) {
+            admitted += shutdown.admitCall(start + arrival, start + arrival + 20ms, origin) ? 1 : 0;
+        }
+    }
+    cr_expect_eq(admitted, 0);
+    cr_assert(shutdown.isComplete(start + 3200ms, true));
+}
+
 Test(gracefulshutdown, an_idle_process_exits_only_after_callers_have_stopped_sending)
 {
     const TimePoint start;
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -59,6 +59,11 @@
         return socket;
     }
 
+    HttpServer &server()
+    {
+        return m_server;
+    }
+
     int handled() const
     {
         return m_handled;
@@ -600,3 +605,80 @@
     }
     expectStatusLine(other, plainRequest, "HTTP/1.1 200 OK");
 }
+
+//! Guards against requests that cross the end of the process: what has arrived is handled and answered, what has not is not read.
+Test(httpserver, closing_answers_each_request_that_has_arrived_and_closes_idle_connections)
+{
+    constexpr int connections = 20;
+    CountingServer server;
+    asio::io_context context;
+    std::vector<tcp::socket> idle;
+    std::vector<tcp::socket> asking;
+    for (int i = 0; i < connections; ++i) {
+        idle.push_back(server.connect(context));
+        asking.push_back(server.connect(context));
+        cr_assert_eq(statusLineOf(idle.back(), "GET / HTTP/1.1\r\n\r\n"), "HTTP/1.1 200 OK");
+        cr_assert_eq(statusLineOf(asking.back(), "GET / HTTP/1.1\r\n\r\n"), "HTTP/1.1 200 OK");
+    }
+    std::promise<void> release;
+    server.block(release.get_future().share()).wait();
+    for (tcp::socket &socket : asking) {
+        send(socket, "GET / HTTP/1.1\r\n\r\n");
+    }
+    server.server().beginClosing();
+    release.set_value();
+    for (tcp::socket &socket : asking) {
+        const std::string response = receive(socket);
+        cr_expect(response.rfind("HTTP/1.1 200 OK", 0) == 0);
+        cr_expect(response.find("Connection: close") != std::string::npos);
+    }
+    for (tcp::socket &socket : idle) {
+        cr_expect_eq(receive(socket), "");
+    }
+    for (const ClosedConnection &closed : server.waitForClosed(2 * connections)) {
+        cr_expect_eq(closed.reason, CloseReason::Shutdown);
+    }
+    cr_expect_eq(server.handled(), 3 * connections);
+}
+
+//! Guards against an exit in the middle of a response to a caller that reads slowly.
+Test(httpserver, a_connection_counts_as_open_until_its_response_has_been_written)
+{
+    constexpr std::size_t bodyBytes = 32 * mebibyte;
+    asio::io_context context;
+    HttpServer::Options options;
+    options.address = {"127.0.0.1", freePort()};
+    options.maxBodyBytes = 64 * kibibyte;
+    bool isHandled = false;
+    HttpServer server({&context}, options, [&isHandled](const std::shared_ptr<HttpExchange> &exchange) {
+        isHandled = true;
+        exchange->respond(textResponse(200, "text/plain", std::string(bodyBytes, 'x')));
+    });
+    cr_assert_not(server.listen());
+    asio::io_context clientContext;
+    tcp::socket client(clientContext);
+    client.connect({asio::ip::make_address(options.address.host), options.address.port});
+    send(client, "GET / HTTP/1.1\r\n\r\n");
+    while (!isHandled) {
+        context.run_one();
+    }
+    context.poll();
+    server.beginClosing();
+    context.poll();
+    cr_assert(server.hasConnections());
+    client.non_blocking(true);
+    std::string block(mebibyte, '\0');
+    std::size_t received = 0;
+    boost::system::error_code error;
+    while (!error || error == asio::error::would_block) {
+        const std::size_t bytes = client.read_some(asio::buffer(block), error);
+        received += bytes;
+        context.poll();
+        cr_assert(bytes == 0 || received > bodyBytes || server.hasConnections());
+    }
+    cr_expect_eq(error, asio::error::eof);
+    cr_expect_gt(received, bodyBytes);
+    while (server.hasConnections()) {
+        context.run_one();
+    }
+}
