Answer the calls that are given up at the end of a planned stop

Callers whose requests came before SIGTERM and outlast the grace period saw their connections closed without an answer when the process exited. The log had one line with the number of calls that were given up.

Cause: calls in flight were dropped with the process.

--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -91,6 +91,7 @@
          "The answer lacks the proof that the backend server made it for this call.",
          502},
         {ResultCode::NodeFailed, "NodeFailed", "An error within the node ended the work on the call.", 502},
+        {ResultCode::NodeStopped, "NodeStopped", "The node that passed the call on was stopped before its answer arrived.", 502},
         {ResultCode::SettingsUnreadable, "SettingsUnreadable", "The settings file cannot be read.", 0},
         {ResultCode::SettingUnknown, "SettingUnknown", "The settings hold a key that is not known.", 0},
         {ResultCode::SettingMissing, "SettingMissing", "A required setting is missing.", 0},
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -56,6 +56,7 @@
     RepeatUndecided = 3010,
     AnswerUnverified = 3011,
     NodeFailed = 3012,
+    NodeStopped = 3013,
 
     SettingsUnreadable = 4001,
     SettingUnknown = 4002,
--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -205,6 +205,20 @@
     }
 }
 
+void Router::abandonCalls(ResultCode code)
+{
+    std::vector<CallId> ids;
+    for (const auto &[id, pending] : m_pending) {
+        ids.push_back(id);
+    }
+    for (const CallId id : ids) {
+        if (const auto found = m_pending.find(id); found != m_pending.end()) {
+            sendCancel(found->second);
+            finish(id, code, {});
+        }
+    }
+}
+
 void Router::handleResponse(const InstanceId &instance, const ResponseMessage &response)
 {
     const auto call = m_callByTicket.find(response.ticket);
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -92,6 +92,9 @@
     //! Completes a call as cancelled. Its executor drops it if it has not started.
     //! A running non-idempotent call continues there, so that its record can answer a retry.
     void cancel(CallId call);
+    //! Completes all calls with a code whose outcome is unknown, as no response can be waited for any longer. Their executors are told
+    //! as by cancel().
+    void abandonCalls(ResultCode code);
     //! Handles a response. Late and duplicate responses are counted and ignored.
     void handleResponse(const InstanceId &instance, const ResponseMessage &response);
     //! No link to the instance can be opened: ends the attempts of idempotent calls there, which may then be retried elsewhere.
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -633,6 +633,7 @@
 void MeshCore::beginClosing()
 {
     m_shutdown.beginClosing();
+    m_router->abandonCalls(ResultCode::NodeStopped);
     m_transport->shutdown();
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -63,7 +63,8 @@
     bool isShutdownComplete(bool isIdle) const;
     //! Whether neither runs nor outbound calls are in flight.
     bool isIdle() const;
-    //! Ends the shutdown: refuses what still arrives, stops listening for peers and closes the links once everything sent has been written. Precondition: the shutdown has begun.
+    //! Ends the shutdown: refuses what still arrives, responds to callers whose calls are in flight, stops listening for peers and
+    //! closes the links once everything sent has been written. Precondition: the shutdown has begun.
     void beginClosing();
     //! Whether the process must exit now, whatever is still to be written. Precondition: the shutdown has begun.
     bool isExitDue() const;
--- a/tests/controllers/router.cpp
+++ b/tests/controllers/router.cpp
@@ -301,3 +301,20 @@
     cr_assert_eq(fixture.results.front().code, ResultCode::DeadlineWhileRunning);
     cr_assert(std::holds_alternative<CancelMessage>(fixture.sent.back().second));
 }
+
+//! Guards against callers that get no answer because the node exits.
+Test(router, calls_that_are_abandoned_end_with_the_given_code_and_are_cancelled_at_their_executors)
+{
+    RouterFixture fixture;
+    fixture.call(true, 4);
+    fixture.call(false, 4);
+    fixture.router.abandonCalls(ResultCode::NodeStopped);
+    cr_assert_eq(fixture.results.size(), 2);
+    for (const CallResult &result : fixture.results) {
+        cr_expect_eq(result.code, ResultCode::NodeStopped);
+    }
+    cr_expect_eq(fixture.router.outstanding(), 0);
+    cr_assert_eq(fixture.sent.size(), 4, "a call that is abandoned is not retried");
+    cr_expect(std::holds_alternative<CancelMessage>(fixture.sent[2].second));
+    cr_expect(std::holds_alternative<CancelMessage>(fixture.sent[3].second));
+}
