--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -641,6 +641,27 @@
     cr_expect_eq(server.handled(), 3 * connections);
 }
 
+//! Guards against a request that is read and then cut off because the rest of its body arrives while the server is being closed.
+Test(httpserver, a_request_that_is_arriving_when_closing_begins_is_answered_once_it_is_whole)
+{
+    CountingServer server;
+    asio::io_context context;
+    tcp::socket socket = server.connect(context);
+    cr_assert_eq(statusLineOf(socket, "GET / HTTP/1.1\r\n\r\n"), "HTTP/1.1 200 OK");
+    std::promise<void> release;
+    server.block(release.get_future().share()).wait();
+    send(socket, "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhello");
+    server.server().beginClosing();
+    release.set_value();
+    std::promise<void> released;
+    released.set_value();
+    server.block(released.get_future().share()).wait();
+    cr_assert(server.server().hasConnections());
+    send(socket, "world");
+    cr_expect_eq(receiveStatusLine(socket), "HTTP/1.1 200 OK");
+    cr_expect_eq(server.waitForClosed(1).front().reason, CloseReason::Shutdown);
+}
+
 //! Guards against an exit in the middle of a response to a caller that reads slowly.
 Test(httpserver, a_connection_counts_as_open_until_its_response_has_been_written)
 {
