Do not count time in which the process stood still as silence of a link

Callers could see: requests refused for want of an instance after a pause of the node of 150 to 250 ms. All links with outstanding calls were suspected at once, which takes their instances off the list of candidates until they have been dialled again. After a longer pause the opposite: a link to a partitioned instance was trusted again, and calls were sent into the partition.

Cause: a tick that was due before the pause runs before the messages are read that arrived in the meantime. Pauses below 250 ms counted as silence. Longer ones set the time of the last message to now, which is later than the beginning of a suspicion and thus ended it, and which kept a silent link from being noticed for as long as each tick was that late.

Evidence, on the code before: of 23 tests of the suite, the new ones fail, e.g.

a_tick_after_a_short_pause_...: after a pause of 220 ms: 0 candidates, 2 dials

Change: of an interval between two ticks of more than 100 ms only 50 ms count. All times that are compared are moved by the rest, so that silence, suspicion and the time with outstanding calls keep their order.

Ruled out: lowering the threshold alone, as it keeps the other two faults; suspecting at the second tick, as a call could then not be sent again before the shortest deadline.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -18,8 +18,10 @@
 constexpr Duration seedRedialInterval = std::chrono::milliseconds(500);
 //! Limits the back-off to 400 ms plus jitter, so that an unreachable peer is dialled about twice a second.
 constexpr int maxBackoffDoublings = 3;
-//! A longer interval between two ticks means that this process was suspended.
-constexpr Duration pauseThreshold = std::chrono::milliseconds(250);
+//! Time between two ticks that counts as silence of a link if more has passed, since messages were not read in the rest of it.
+constexpr Duration countedTickInterval = std::chrono::milliseconds(50);
+//! A longer interval between two ticks means that this process was suspended or busy.
+constexpr Duration maxTickInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -192,7 +194,7 @@
 void LinkController::tick()
 {
     const TimePoint now = m_hooks.clock();
-    resetTimersAfterPause(now);
+    excludePause(now);
     std::vector<InstanceId> instances;
     for (const auto &[instance, peer] : m_peers) {
         instances.push_back(instance);
@@ -213,16 +215,27 @@
     m_lastTickAt = now;
 }
 
-//! Messages are not read while the process is suspended; without the reset all links would time out on resumption.
-void LinkController::resetTimersAfterPause(TimePoint now)
+//! Messages are not read while the process is suspended or busy, and a tick that was due before may run before they are read.
+//! Without this, all links would time out. A part of the time still counts, so that a silent link is detected although each tick
+//! is late.
+void LinkController::excludePause(TimePoint now)
 {
-    const Duration gap = now - m_lastTickAt;
-    if (gap < pauseThreshold) {
+    const Duration gap = std::chrono::duration_cast<Duration>(now - m_lastTickAt);
+    if (gap <= maxTickInterval) {
         return;
     }
+    const auto shift = [now, pause = gap - countedTickInterval](TimePoint &time) { time = std::min(now, time + pause); };
     for (auto &[id, connection] : m_connections) {
-        connection.lastReceivedAt = std::max(connection.lastReceivedAt, now);
-        connection.createdAt = std::max(connection.createdAt, now);
+        shift(connection.lastReceivedAt);
+        shift(connection.createdAt);
+    }
+    for (auto &[instance, peer] : m_peers) {
+        if (peer.outstandingSince) {
+            shift(*peer.outstandingSince);
+        }
+        if (peer.suspectedSince) {
+            shift(*peer.suspectedSince);
+        }
     }
 }
 
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -149,7 +149,7 @@
     StatusMessage statusFor(const Connection &connection) const;
     void checkPeer(Peer &peer, TimePoint now);
     void checkLiveness(Peer &peer, TimePoint now);
-    void resetTimersAfterPause(TimePoint now);
+    void excludePause(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void sendOn(ConnectionId id, Connection &connection, const PeerMessage &message);
     //! Returns the connection of the link to an instance, otherwise one that it has opened, otherwise the end.
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -260,6 +260,73 @@
     cr_assert_eq(fixture.unreachableCount, 0);
 }
 
+//! A tick that was due before the process stood still runs before what has arrived in the meantime is read.
+Test(links, a_tick_after_a_short_pause_does_not_suspect_links_whose_messages_are_unread)
+{
+    for (int milliseconds = 50; milliseconds <= 1000; milliseconds += 10) {
+        LinkFixture fixture;
+        const ConnectionId id = fixture.openLink();
+        fixture.outstanding = true;
+        fixture.receive(id, StatusMessage());
+        fixture.tickFor(std::chrono::milliseconds(150));
+        fixture.time.skip(std::chrono::milliseconds(milliseconds));
+        fixture.links.tick();
+        cr_expect_eq(fixture.candidateCount(), 1, "after a pause of %d ms", milliseconds);
+        cr_expect_eq(fixture.dials.size(), 1, "after a pause of %d ms", milliseconds);
+        fixture.receive(id, StatusMessage());
+        fixture.tickFor(std::chrono::milliseconds(150));
+        cr_expect_eq(fixture.candidateCount(), 1);
+    }
+}
+
+Test(links, a_tick_after_a_short_pause_does_not_suspect_a_link_whose_first_call_was_sent_before)
+{
+    LinkFixture fixture;
+    const ConnectionId id = fixture.openLink();
+    fixture.tickFor(std::chrono::seconds(4));
+    fixture.outstanding = true;
+    cr_assert(fixture.links.send(InstanceId("x-1"), CallMessage()));
+    fixture.tickFor(std::chrono::milliseconds(150));
+    fixture.time.skip(std::chrono::milliseconds(200));
+    fixture.links.tick();
+    cr_expect_eq(fixture.candidateCount(), 1);
+    cr_expect_eq(fixture.dials.size(), 1);
+    fixture.receive(id, StatusMessage());
+    fixture.tickFor(std::chrono::milliseconds(150));
+    cr_expect_eq(fixture.candidateCount(), 1);
+}
+
+//! The peer is partitioned, and its calls have been given up.
+Test(links, a_suspected_link_stays_suspected_across_a_pause)
+{
+    LinkFixture fixture;
+    const ConnectionId id = fixture.openLink();
+    fixture.outstanding = true;
+    fixture.tickFor(std::chrono::milliseconds(800));
+    fixture.outstanding = false;
+    cr_assert_eq(fixture.candidateCount(), 0);
+    fixture.time.skip(std::chrono::seconds(2));
+    for (int i = 0; i < 20; ++i) {
+        fixture.tickFor(std::chrono::milliseconds(50));
+        cr_assert_eq(fixture.candidateCount(), 0, "%d ms after the pause", 50 * (i + 1));
+    }
+    fixture.receive(id, StatusMessage());
+    fixture.tickFor(std::chrono::seconds(2));
+    cr_assert_eq(fixture.candidateCount(), 1);
+}
+
+Test(links, a_silent_link_is_suspected_although_each_tick_is_late)
+{
+    LinkFixture fixture;
+    fixture.openLink();
+    fixture.outstanding = true;
+    for (int i = 0; i < 8; ++i) {
+        fixture.time.skip(std::chrono::milliseconds(300));
+        fixture.links.tick();
+    }
+    cr_assert_eq(fixture.candidateCount(), 0);
+}
+
 Test(links, queueing_delay_is_measured_without_synchronised_clocks)
 {
     LinkFixture fixture;
