Dial a peer with outstanding calls again although it has left the list

Callers could see: calls to an instance that had just left the instance list ended only at their deadline, as unknown, when its link ended before its responses. Neither were they sent again under their tickets, nor were those that may be retried given up.

Cause: a link that ends is dialled again for desired peers only, while a peer is kept for as long as calls are outstanding.

Evidence, on the code before:

a_link_that_ends_with_outstanding_calls_...: the calls are resent or given up (1 dial, expected 2)

Change: one condition says whether a peer is still needed, for dialling it and for forgetting it.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -183,7 +183,7 @@
         if (peer.activeConnection == id) {
             peer.activeConnection.reset();
             m_candidatesStale = true;
-            if (peer.isDesired && !peer.dialingConnection) {
+            if (isNeeded(peer) && !peer.dialingConnection) {
                 startDial(peer, now);
             }
             return;
@@ -220,7 +220,7 @@
 //! is late.
 void LinkController::excludePause(TimePoint now)
 {
-    const Duration gap = std::chrono::duration_cast<Duration>(now - m_lastTickAt);
+    const Duration gap = now - m_lastTickAt;
     if (gap <= maxTickInterval) {
         return;
     }
@@ -254,7 +254,7 @@
         checkLiveness(peer, now);
         return;
     }
-    if (peer.isDesired && now >= peer.nextDialAt) {
+    if (isNeeded(peer) && now >= peer.nextDialAt) {
         startDial(peer, now);
     }
 }
@@ -284,6 +284,12 @@
     }
 }
 
+//! Calls to a peer that is no longer desired are still resent over a new link or given up.
+bool LinkController::isNeeded(const Peer &peer) const
+{
+    return peer.isDesired || m_hooks.hasOutstanding(peer.published.instance);
+}
+
 void LinkController::startDial(Peer &peer, TimePoint now)
 {
     peer.nextDialAt = now;
@@ -509,7 +515,7 @@
 {
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         const Peer &peer = entry->second;
-        if (peer.isDesired || m_hooks.hasOutstanding(entry->first)) {
+        if (isNeeded(peer)) {
             ++entry;
             continue;
         }
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -141,6 +141,7 @@
         TimePoint nextDialAt;
     };
 
+    bool isNeeded(const Peer &peer) const;
     void startDial(Peer &peer, TimePoint now);
     void dialFailed(Peer &peer, TimePoint now);
     void handleHello(ConnectionId id, Connection &connection, const HelloMessage &hello);
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -327,6 +327,25 @@
     cr_assert_eq(fixture.candidateCount(), 0);
 }
 
+//! The instance has been removed from the list, and its process ends the link.
+Test(links, a_link_that_ends_with_outstanding_calls_is_dialled_again_although_the_peer_has_left_the_list)
+{
+    LinkFixture fixture;
+    const ConnectionId id = fixture.openLink();
+    fixture.outstanding = true;
+    fixture.links.setDesiredPeers({});
+    fixture.links.closed(id);
+    cr_assert_eq(fixture.dials.size(), 2, "the calls are resent or given up");
+    fixture.links.closed(fixture.dials.back());
+    cr_assert_eq(fixture.unreachableCount, 1);
+    fixture.tickFor(std::chrono::milliseconds(200));
+    cr_assert_eq(fixture.dials.size(), 3);
+    fixture.outstanding = false;
+    fixture.links.closed(fixture.dials.back());
+    fixture.tickFor(std::chrono::seconds(2));
+    cr_assert_eq(fixture.dials.size(), 3, "without outstanding calls the peer is forgotten");
+}
+
 Test(links, queueing_delay_is_measured_without_synchronised_clocks)
 {
     LinkFixture fixture;
