Do not count pauses of the process as service time

Callers could see: requests refused at the entry, and calls refused as too close to their deadline, after a node had stood still. The runs that ended meanwhile were recorded with the length of the pause.

Cause: the end of a run that happened during a pause is read after it. The service time feeds the lower bound by which calls are refused, the rate by which the queue is shed, and the clearing rank that all entry nodes apply.

Evidence, on the code before, for eight runs of 20 ms across a pause of 2 s:

a_pause_of_the_process_does_not_count_as_service_time: mean 318 ms, clearing rank 500.8 (before the pause 0)

Change: the executor sums up the intervals between two ticks of more than 100 ms, and subtracts from each run what passed of them while it ran. A run of which nothing remains is not recorded. Ruled out: dropping all runs that span a pause, as a process that is slow throughout would then learn nothing.

--- a/src/chervilpaddle/controllers/executor.cpp
+++ b/src/chervilpaddle/controllers/executor.cpp
@@ -18,6 +18,8 @@
 constexpr double slackSmoothing = 0.02;
 //! Slots count as idle below this mean occupancy of a window.
 constexpr double idleOccupancy = 0.9;
+//! A longer interval between two ticks means that this process was suspended or busy.
+constexpr Duration maxTickInterval = std::chrono::milliseconds(100);
 //! Bounds the queue where deadlines are not enforced.
 constexpr std::size_t maxQueuedCallsPerSlot = 4;
 
@@ -239,6 +241,7 @@
     active.run.allowance = std::make_shared<RetryAllowance>(pending.call.retryAllowance);
     active.run.started = m_hooks.clock();
     active.run.deadline = call.deadline;
+    active.pausedTimeBefore = pausedTime(active.run.started);
     active.run.call = std::move(pending.call);
     active.replies = std::move(pending.replies);
     active.withholdsAllowance = pending.withholdsAllowance;
@@ -274,8 +277,12 @@
     const bool served = outcomeOf(result.code) == Outcome::Done;
     if (served) {
         ++m_windowCompletions;
-        m_serviceTimes.record(active.run.call.context.operation, now - active.run.started, now);
-        m_occupancyTuner.record(active.run.call.context.operation, now - active.run.started);
+        // When a run ended during a pause is not known. Pauses that counted as service time would refuse calls afterwards.
+        const Duration serviceTime = now - active.run.started - (pausedTime(now) - active.pausedTimeBefore);
+        if (serviceTime > Duration::zero()) {
+            m_serviceTimes.record(context.operation, serviceTime, now);
+            m_occupancyTuner.record(context.operation, serviceTime);
+        }
         m_slotLimit.recordSuccess();
     } else if (result.code == ResultCode::BackendUnreachable) {
         m_slotLimit.enterSlowStart();
@@ -349,6 +356,8 @@
 void Executor::tick()
 {
     const TimePoint now = m_hooks.clock();
+    m_pausedTime = pausedTime(now);
+    m_lastTickAt = now;
     expireQueued(now);
     expireRunning(now);
     endWindowIfDue(now);
@@ -540,6 +549,12 @@
     return m_tickets;
 }
 
+Duration Executor::pausedTime(TimePoint now) const
+{
+    const Duration gap = m_lastTickAt ? now - *m_lastTickAt : Duration::zero();
+    return gap > maxTickInterval ? m_pausedTime + gap : m_pausedTime;
+}
+
 void Executor::accumulateOccupancy()
 {
     const TimePoint now = m_hooks.clock();
--- a/src/chervilpaddle/controllers/executor.h
+++ b/src/chervilpaddle/controllers/executor.h
@@ -146,6 +146,8 @@
         bool responded = false;
         bool cancelled = false;
         std::vector<ServiceCost> costs;
+        //! For how long the process had stood still when the run started.
+        Duration pausedTimeBefore{};
     };
     struct ChildPrice
     {
@@ -165,6 +167,8 @@
     void expireQueued(TimePoint now);
     void expireRunning(TimePoint now);
     void respond(ActiveRun &active, const ResponseMessage &response);
+    //! For how long the process has stood still in total, as far as known now.
+    Duration pausedTime(TimePoint now) const;
     void accumulateOccupancy();
     void endWindowIfDue(TimePoint now);
     void renewIncarnation();
@@ -193,6 +197,8 @@
     std::uint64_t m_lastRun = 0;
     bool m_draining = false;
     bool m_dispatching = false;
+    std::optional<TimePoint> m_lastTickAt;
+    Duration m_pausedTime{};
     TimePoint m_windowStart;
     TimePoint m_occupancyUpdated;
     double m_occupiedSlotSeconds = 0;
--- a/tests/controllers/admission.cpp
+++ b/tests/controllers/admission.cpp
@@ -231,6 +231,44 @@
     cr_assert_eq(fixture.answers[2].front().code, ResultCode::DeadlinePast);
 }
 
+//! The runs ended while the process stood still; when is not known.
+Test(admission, a_pause_of_the_process_does_not_count_as_service_time)
+{
+    ExecutorFixture fixture(8);
+    std::uint64_t sequence = 0;
+    const auto serve = [&fixture, &sequence](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            for (int i = 0; i < 8; ++i) {
+                fixture.submit(fixture.message(++sequence, 500));
+            }
+            for (int i = 0; i < 4; ++i) {
+                fixture.time.skip(std::chrono::milliseconds(5));
+                fixture.executor.tick();
+            }
+            if (round < rounds - 1) {
+                for (int i = 0; i < 8; ++i) {
+                    fixture.finishFirst();
+                }
+            }
+        }
+    };
+    serve(20);
+    const Rank rank = fixture.executor.clearingRank();
+    fixture.time.skip(std::chrono::seconds(2));
+    for (int i = 0; i < 4; ++i) {
+        fixture.finishFirst();
+    }
+    fixture.executor.tick();
+    for (int i = 0; i < 4; ++i) {
+        fixture.finishFirst();
+    }
+    cr_expect_leq(fixture.executor.meanServiceTime().count(), 20000);
+    const std::size_t startedBefore = fixture.started.size();
+    serve(20);
+    cr_expect_eq(fixture.started.size() - startedBefore, 160, "%zu of 160 calls started", fixture.started.size() - startedBefore);
+    cr_expect_leq(fixture.executor.clearingRank(), rank);
+}
+
 Test(admission, an_idempotent_run_past_its_deadline_is_answered_unknown_and_cancelled)
 {
     ExecutorFixture fixture(1);
