Close accepted connections whose peers have gone silent

Callers could see: too many or too few requests admitted at an entry after the host of a peer had vanished, or a connection had died without its end arriving. The node went on sending its status to that instance on the dead connection, and its clearing rank expired there.

Cause: only links are checked for silence. An accepted connection stayed until TCP gave it up, after a quarter of an hour, and one on which no hello ever arrived stayed for good. Of several connections of an instance the oldest was used.

Evidence, on the code before:

an_accepted_connection_is_closed_...: connectionCount() == 1 is false, nothing closed after ten minutes status_goes_to_the_connection_...: two messages on the dead connection, none on the current one

Change: connections other than links are closed after the idle timeout of links; both ends send heartbeats on every connection. Messages that need no response go to the link, or to the connection that the instance was last heard on if there is none or it is suspected.

Ruled out: that this loses calls. A call that crosses the close is sent again under its ticket when the caller's end is dialled again.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -210,6 +210,7 @@
             m_seedDials.insert(m_hooks.dial(seed));
         }
     }
+    closeSilentConnections(now);
     sendHeartbeats(now);
     removeUndesiredPeers();
     m_lastTickAt = now;
@@ -290,6 +291,24 @@
     return peer.isDesired || m_hooks.hasOutstanding(peer.published.instance);
 }
 
+//! Both ends send heartbeats on every connection. Links are checked with their peers; the other connections are those that peers
+//! have opened, whose end does not arrive if a host or its network fails.
+void LinkController::closeSilentConnections(TimePoint now)
+{
+    std::vector<ConnectionId> silent;
+    for (const auto &[id, connection] : m_connections) {
+        const bool belongsToPeer = std::any_of(m_peers.begin(), m_peers.end(), [id = id](const auto &entry) {
+            return entry.second.activeConnection == id || entry.second.dialingConnection == id;
+        });
+        if (now - connection.lastReceivedAt > idleLinkTimeout && !belongsToPeer) {
+            silent.push_back(id);
+        }
+    }
+    for (const ConnectionId id : silent) {
+        closeConnection(id);
+    }
+}
+
 void LinkController::startDial(Peer &peer, TimePoint now)
 {
     peer.nextDialAt = now;
@@ -337,12 +356,18 @@
 
 std::map<ConnectionId, LinkController::Connection>::iterator LinkController::findConnection(const InstanceId &instance)
 {
-    if (const auto peer = m_peers.find(instance); peer != m_peers.end() && peer->second.activeConnection) {
+    const auto peer = m_peers.find(instance);
+    if (peer != m_peers.end() && peer->second.activeConnection && !peer->second.suspectedSince) {
         return m_connections.find(*peer->second.activeConnection);
     }
-    return std::find_if(m_connections.begin(), m_connections.end(), [&instance](const auto &entry) {
-        return entry.second.helloReceived && entry.second.instance == instance;
-    });
+    auto latest = m_connections.end();
+    for (auto entry = m_connections.begin(); entry != m_connections.end(); ++entry) {
+        const bool isOfInstance = entry->second.helloReceived && entry->second.instance == instance;
+        if (isOfInstance && (latest == m_connections.end() || latest->second.lastReceivedAt <= entry->second.lastReceivedAt)) {
+            latest = entry;
+        }
+    }
+    return latest;
 }
 
 void LinkController::sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message)
@@ -361,15 +386,14 @@
 
 void LinkController::sendStatusToInstances()
 {
-    std::map<InstanceId, ConnectionId> chosen;
+    std::set<InstanceId> instances;
     for (const auto &[id, connection] : m_connections) {
         if (connection.helloReceived) {
-            chosen.try_emplace(connection.instance, id);
+            instances.insert(connection.instance);
         }
     }
-    for (const auto &[instance, id] : chosen) {
-        const auto connection = m_connections.find(id);
-        sendOn(id, connection->second, statusFor(connection->second));
+    for (const InstanceId &instance : instances) {
+        sendStatus(instance);
     }
 }
 
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -81,8 +81,8 @@
     bool send(const InstanceId &instance, const PeerMessage &message);
     //! Sends over the connection on which a message was received, in response to it.
     void reply(ConnectionId connection, const PeerMessage &message);
-    //! Sends to an instance over its link or, if there is none, over a connection that it has opened; if there is neither, the
-    //! message is dropped. For messages that need no response.
+    //! Sends to an instance over its link or, if there is none or it is suspected, over the connection that the instance was last
+    //! heard on; if there is neither, the message is dropped. For messages that need no response.
     void sendOnAnyConnection(const InstanceId &instance, const PeerMessage &message);
     //! Sends the status of this node on all connections immediately, so that each of them acknowledges a drain.
     void broadcastStatus();
@@ -151,9 +151,11 @@
     void checkPeer(Peer &peer, TimePoint now);
     void checkLiveness(Peer &peer, TimePoint now);
     void excludePause(TimePoint now);
+    void closeSilentConnections(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void sendOn(ConnectionId id, Connection &connection, const PeerMessage &message);
-    //! Returns the connection of the link to an instance, otherwise one that it has opened, otherwise the end.
+    //! Returns the connection of the link to an instance; otherwise, or if the link is suspected, the connection that it was last
+    //! heard on; otherwise the end.
     std::map<ConnectionId, Connection>::iterator findConnection(const InstanceId &instance);
     void closeConnection(ConnectionId id);
     void removeUndesiredPeers();
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -346,6 +346,47 @@
     cr_assert_eq(fixture.dials.size(), 3, "without outstanding calls the peer is forgotten");
 }
 
+//! The host of the peer has vanished, so that no end of the connection arrives.
+Test(links, an_accepted_connection_is_closed_when_nothing_arrives_for_longer_than_the_heartbeat_interval)
+{
+    for (const bool hasHello : {true, false}) {
+        LinkFixture fixture;
+        const ConnectionId silent(900);
+        const ConnectionId lively(901);
+        fixture.links.opened(silent, true);
+        fixture.links.opened(lively, true);
+        fixture.hello(lively, "y-2", 4);
+        if (hasHello) {
+            fixture.hello(silent, "y-1", 3);
+        }
+        for (int i = 0; i < 120; ++i) {
+            fixture.tickFor(std::chrono::seconds(5));
+            fixture.receive(lively, StatusMessage());
+        }
+        cr_expect_eq(fixture.links.connectionCount(), 1);
+        cr_expect_eq(fixture.closed.size(), 1);
+        cr_expect(!fixture.closed.empty() && fixture.closed.front() == silent);
+    }
+}
+
+Test(links, status_goes_to_the_connection_that_an_instance_was_last_heard_on)
+{
+    LinkFixture fixture;
+    const ConnectionId dead(900);
+    const ConnectionId current(901);
+    for (const ConnectionId id : {dead, current}) {
+        fixture.links.opened(id, true);
+        fixture.hello(id, "y-1", 3);
+        fixture.tickFor(std::chrono::milliseconds(100));
+    }
+    fixture.receive(current, StatusMessage());
+    fixture.sent.clear();
+    fixture.links.sendStatus(InstanceId("y-1"));
+    fixture.links.sendStatusToInstances();
+    cr_expect_eq(fixture.sent[current].size(), 2);
+    cr_expect_eq(fixture.sent[dead].size(), 0);
+}
+
 Test(links, queueing_delay_is_measured_without_synchronised_clocks)
 {
     LinkFixture fixture;
