Follow each change of a peer's incarnation, and announce an own one at once

Callers could see: all calls to an instance that may not be repeated failed as unknown, although none ran, and the drain of an instance went unnoticed. A node whose table of ticket issuers is full takes a new incarnation, which happens after 4096 restarts of its peers.

Cause: a status with another incarnation updated the peer and not the connection, so that all later ones seemed to come from an earlier process: neither a second change nor a drain was applied. In the mesh, the change itself was not announced; peers learned it from the next heartbeat, up to 5 s later, and their calls until then were refused as sent to an earlier process.

Change: the connection carries the incarnation of the last status, and a change of the own one is broadcast. Ruled out: that a late status of an ended process reverts it, as such a status arrives on that process's connections only and names the incarnation that they carry.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -1,6 +1,7 @@
 #include <chervilpaddle/controllers/linkcontroller.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -147,11 +148,18 @@
 void LinkController::handleStatus(ConnectionId id, Connection &connection, const StatusMessage &status)
 {
     connection.drainAcknowledged = status.drainAcknowledged;
+    const Incarnation previous = std::exchange(connection.incarnation, status.incarnation);
     const auto peer = m_peers.find(connection.instance);
     if (peer == m_peers.end()) {
         return;
     }
-    const bool sameIncarnation = peer->second.incarnation == connection.incarnation || peer->second.incarnation.value() == 0;
+    // The peer has changed its incarnation without a restart.
+    const bool isRenewed = peer->second.incarnation == previous && status.incarnation != previous;
+    if (isRenewed) {
+        peer->second.incarnation = status.incarnation;
+        m_candidatesStale = true;
+    }
+    const bool sameIncarnation = peer->second.incarnation == status.incarnation || peer->second.incarnation.value() == 0;
     if (sameIncarnation && peer->second.draining != status.draining) {
         peer->second.draining = status.draining;
         m_candidatesStale = true;
@@ -161,10 +169,7 @@
         connection.drainAcknowledgementSent = status.draining;
         sendOn(id, connection, statusFor(connection));
     }
-    if (peer->second.incarnation == connection.incarnation && status.incarnation != connection.incarnation) {
-        // The peer has changed its incarnation without a restart.
-        peer->second.incarnation = status.incarnation;
-        m_candidatesStale = true;
+    if (isRenewed) {
         m_hooks.incarnationChanged(connection.instance, status.incarnation);
     }
 }
@@ -478,8 +483,12 @@
 
 void LinkController::setOwnCandidate(const Candidate &ownCandidate)
 {
+    const bool isRenewed = ownCandidate.incarnation != m_ownCandidate.incarnation;
     m_ownCandidate = ownCandidate;
     m_candidatesStale = true;
+    if (isRenewed) {
+        broadcastStatus();
+    }
 }
 
 std::size_t LinkController::connectionCount() const
--- a/src/chervilpaddle/controllers/linkcontroller.h
+++ b/src/chervilpaddle/controllers/linkcontroller.h
@@ -96,6 +96,7 @@
 
     //! The instances of a service that can be called now, including this one.
     const std::vector<Candidate> &candidates(const ServiceName &service);
+    //! Announces a new incarnation of this node on all connections.
     void setOwnCandidate(const Candidate &ownCandidate);
 
     //! The nodes with an inbound connection that have not acknowledged the drain of this node.
--- a/tests/controllers/linkcontroller.cpp
+++ b/tests/controllers/linkcontroller.cpp
@@ -387,6 +387,34 @@
     cr_expect_eq(fixture.sent[dead].size(), 0);
 }
 
+Test(links, each_change_of_a_peers_incarnation_without_a_restart_is_reported)
+{
+    LinkFixture fixture;
+    const ConnectionId id = fixture.openLink(50);
+    StatusMessage status;
+    for (const std::uint64_t incarnation : {51, 51, 52}) {
+        status.incarnation = Incarnation(incarnation);
+        fixture.receive(id, status);
+        cr_expect(fixture.links.candidates(ServiceName("x")).front().incarnation == status.incarnation);
+    }
+    cr_expect_eq(fixture.incarnationChanges, 2);
+    status.draining = true;
+    fixture.receive(id, status);
+    cr_expect(fixture.links.candidates(ServiceName("x")).front().draining);
+}
+
+//! Calls that peers send under the previous incarnation are refused, and whether they ran is not known to them.
+Test(links, a_new_incarnation_of_this_node_is_announced_at_once)
+{
+    LinkFixture fixture;
+    const ConnectionId id = fixture.openLink();
+    fixture.sent.clear();
+    fixture.links.setOwnCandidate({InstanceId("self"), Incarnation(1), DataCentreName("a"), true, {}});
+    cr_expect(fixture.sent[id].empty());
+    fixture.links.setOwnCandidate({InstanceId("self"), Incarnation(2), DataCentreName("a"), true, {}});
+    cr_expect_eq(fixture.sent[id].size(), 1);
+}
+
 Test(links, queueing_delay_is_measured_without_synchronised_clocks)
 {
     LinkFixture fixture;
