Admit a request now and then although a service that it needed is unreachable

Callers could see: every request of an operation refused at the entry, for as long as the node ran, after the last instance of a service had left that the operation no longer needs, e.g. since its backend servers were replaced.

Cause: which services an operation needs is learned from answers and never ages. While requests are refused for an unreachable service, there are no answers that could show that it is no longer called.

Evidence, on the code before:

a_service_that_is_no_longer_called_does_not_refuse_requests_for_ever: 0 of 600 admitted

Change: an operation that is refused for 10 s has one request admitted, and another one each 10 s. One answer without the service is enough to admit all. Ruled out: forgetting after a time, which would admit all requests in a long partition, to fail half-way.

--- a/src/chervilpaddle/controllers/entryadmission.cpp
+++ b/src/chervilpaddle/controllers/entryadmission.cpp
@@ -21,6 +21,10 @@
 //! Older reports of an instance's clearing rank are ignored.
 constexpr Duration reportLifetime = std::chrono::milliseconds(1500);
 
+//! Interval of the requests that are admitted although a service that they need is unreachable. Longer than most outages, since
+//! each of them may fail half-way.
+constexpr Duration probeInterval = std::chrono::seconds(10);
+
 } // namespace
 
 void EntryAdmission::recordCosts(const OperationName &operation, int priority, const std::vector<ServiceCost> &costs)
@@ -58,7 +62,8 @@
 }
 
 std::optional<ServiceName> EntryAdmission::unreachableService(const OperationName &operation,
-                                                              const std::function<bool(const ServiceName &)> &isReachable) const
+                                                              const std::function<bool(const ServiceName &)> &isReachable,
+                                                              TimePoint now)
 {
     const auto costs = m_costs.find(operation);
     if (costs == m_costs.end()) {
@@ -67,7 +72,16 @@
     const auto unreachable = std::find_if(costs->second.begin(), costs->second.end(), [&](const auto &entry) {
         return entry.second.share >= requiredShare && !isReachable(entry.first);
     });
-    return unreachable == costs->second.end() ? std::nullopt : std::optional<ServiceName>(unreachable->first);
+    if (unreachable == costs->second.end()) {
+        m_nextProbeAt.erase(operation);
+        return std::nullopt;
+    }
+    const auto [nextProbe, isFirst] = m_nextProbeAt.try_emplace(operation, now + probeInterval);
+    if (!isFirst && now >= nextProbe->second) {
+        nextProbe->second = now + probeInterval;
+        return std::nullopt;
+    }
+    return unreachable->first;
 }
 
 std::optional<ServiceName> EntryAdmission::overloadedService(const Request &request, TimePoint now) const
--- a/src/chervilpaddle/controllers/entryadmission.h
+++ b/src/chervilpaddle/controllers/entryadmission.h
@@ -39,9 +39,10 @@
 
     //! Returns an unreachable service that nearly every request of the operation needs, if there is one. Meant for a data
     //! centre that is cut off from the only instances of a service deep in the call tree: a request refused as not run
-    //! can safely be retried, whereas one that fails half-way has run in part.
-    std::optional<ServiceName> unreachableService(const OperationName &operation,
-                                                  const std::function<bool(const ServiceName &)> &isReachable) const;
+    //! can safely be retried, whereas one that fails half-way has run in part. At long intervals a request is admitted nevertheless,
+    //! as its answer may show that the service is no longer needed.
+    std::optional<ServiceName>
+    unreachableService(const OperationName &operation, const std::function<bool(const ServiceName &)> &isReachable, TimePoint now);
     //! Returns the service whose clearing rank refuses the request, or nothing if the request is admitted.
     std::optional<ServiceName> overloadedService(const Request &request, TimePoint now) const;
     //! The mean clearing rank over the service's instances that reported lately; zero if there are none. An instance that
@@ -64,6 +65,8 @@
     using Costs = std::map<ServiceName, Cost>;
 
     std::unordered_map<OperationName, Costs> m_costs;
+    //! When the next request is admitted of each operation that needs an unreachable service.
+    std::unordered_map<OperationName, TimePoint> m_nextProbeAt;
     std::map<ServiceName, std::map<InstanceId, Report>> m_reports;
     //! The lowest priority of the requests that call each service.
     std::map<ServiceName, int> m_minPriority;
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -284,7 +284,7 @@
         const auto &candidates = m_links->candidates(service);
         return std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return !candidate.draining; });
     };
-    const auto service = m_admission.unreachableService(pending.operation, isReachable);
+    const auto service = m_admission.unreachableService(pending.operation, isReachable, m_clock());
     if (!service) {
         return false;
     }
--- a/tests/controllers/entryadmission.cpp
+++ b/tests/controllers/entryadmission.cpp
@@ -62,11 +62,12 @@
 {
     AdmissionFixture fixture;
     const auto isReachable = [](const ServiceName &service) { return service != innerService; };
-    cr_assert(fixture.admission.unreachableService(shallowOperation, isReachable) == innerService);
-    cr_assert(fixture.admission.unreachableService(deepOperation, isReachable) == innerService);
-    cr_assert(!fixture.admission.unreachableService(unrelatedOperation, isReachable));
-    cr_assert(!fixture.admission.unreachableService(OperationName("never.seen"), isReachable));
-    cr_assert(!fixture.admission.unreachableService(deepOperation, [](const ServiceName &) { return true; }));
+    cr_assert(fixture.admission.unreachableService(shallowOperation, isReachable, fixture.now) == innerService);
+    cr_assert(fixture.admission.unreachableService(deepOperation, isReachable, fixture.now) == innerService);
+    cr_assert(!fixture.admission.unreachableService(unrelatedOperation, isReachable, fixture.now));
+    cr_assert(!fixture.admission.unreachableService(OperationName("never.seen"), isReachable, fixture.now));
+    cr_assert(!fixture.admission.unreachableService(
+        deepOperation, [](const ServiceName &) { return true; }, fixture.now));
     // One request in five does not call the inner service, so requests are admitted.
     for (int i = 0; i < 100; ++i) {
         fixture.admission.recordCosts(deepOperation, 10, {{ServiceName("outer"), 0.3}});
@@ -74,7 +75,7 @@
             fixture.admission.recordCosts(deepOperation, 10, {{ServiceName("outer"), 0.3}, {innerService, 0.44}});
         }
     }
-    cr_assert(!fixture.admission.unreachableService(deepOperation, isReachable));
+    cr_assert(!fixture.admission.unreachableService(deepOperation, isReachable, fixture.now));
 }
 
 Test(entryadmission, an_instance_with_spare_capacity_counts_as_refusing_nothing)
@@ -112,3 +113,33 @@
     fixture.reportClearingRanks({11});
     cr_assert_float_eq(fixture.refusedShare(OperationName("outer.new"), 8), 0, 1e-9);
 }
+
+//! The backend servers have been replaced by ones that call another service, and the last instance of the former one has gone. As
+//! nothing was admitted, no answer ever showed this.
+Test(entryadmission, a_service_that_is_no_longer_called_does_not_refuse_requests_for_ever)
+{
+    AdmissionFixture fixture;
+    const auto isReachable = [](const ServiceName &service) { return service != innerService; };
+    int admitted = 0;
+    for (int i = 0; i < 600; ++i) {
+        fixture.now += std::chrono::milliseconds(100);
+        if (!fixture.admission.unreachableService(shallowOperation, isReachable, fixture.now)) {
+            ++admitted;
+            fixture.admission.recordCosts(shallowOperation, 8, {{ServiceName("outer"), 0.3}});
+        }
+    }
+    cr_assert_geq(admitted, 400, "%d of 600 admitted", admitted);
+}
+
+Test(entryadmission, few_requests_are_admitted_while_a_required_service_is_unreachable)
+{
+    AdmissionFixture fixture;
+    const auto isReachable = [](const ServiceName &service) { return service != innerService; };
+    int admitted = 0;
+    for (int i = 0; i < 6000; ++i) {
+        admitted += fixture.admission.unreachableService(shallowOperation, isReachable, fixture.now) ? 0 : 1;
+        cr_assert(admitted == 0 || i >= 900, "none during a short outage");
+        fixture.now += std::chrono::milliseconds(10);
+    }
+    cr_assert_leq(admitted, 6);
+}
