Forget long caller time-outs that are no longer seen

Callers could see: no preference for retries under overload. Callers that were refused and wait as told are refused less; they are recognised by having less time left than the longest time-out ever seen on their route. After a single request with a longer time-out all others counted as retries, for as long as the node ran.

Cause: the longest time-out never aged. The map of routes was not bounded either.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -29,8 +29,6 @@
 constexpr std::size_t maxTicketRecords = 16384;
 constexpr std::size_t maxTicketIssuers = 4096;
 constexpr std::size_t maxTicketAnswerBytes = 2 * mebibyte;
-//! Transit time by which the caller time-out of a first attempt may fall short of the longest one of its route.
-constexpr Duration callerTimeoutTolerance = std::chrono::milliseconds(60);
 constexpr Duration defaultLatencyObjective = std::chrono::seconds(1);
 //! Upper bounds of the retry delay: the route's latency objective and the caller time-out, each over its divisor.
 constexpr int retryObjectiveDivisor = 2;
@@ -223,7 +221,10 @@
                                  m_clock(),
                                  incoming.callerTimeout.value_or(defaultCallerTimeout),
                                  parentRun != nullptr ? parentRun->id : RunId()};
-    if (parentRun == nullptr && (refuseIfUnreachable(pending) || refuseIfOverloaded(pending, isRetryAfterRefusal(incoming, route)))) {
+    const auto isRetry = [this, &incoming, &route] {
+        return incoming.callerTimeout && m_delayedRetries.isDelayedRetry(route.name, *incoming.callerTimeout, m_clock());
+    };
+    if (parentRun == nullptr && (refuseIfUnreachable(pending) || refuseIfOverloaded(pending, isRetry()))) {
         return;
     }
     OutboundCall outbound = makeOutboundCall(incoming, route, target, parentRun);
@@ -249,17 +250,6 @@
     });
 }
 
-//! Whether the caller has been refused before and told to retry: it then has less time left than first attempts on the route.
-bool MeshCore::isRetryAfterRefusal(const IncomingCall &incoming, const Route &route)
-{
-    if (!incoming.callerTimeout) {
-        return false;
-    }
-    Duration &longest = m_maxCallerTimeouts[route.name];
-    longest = std::max(longest, *incoming.callerTimeout);
-    return *incoming.callerTimeout < longest - callerTimeoutTolerance;
-}
-
 bool MeshCore::refuseIfOverloaded(const PendingRequest &pending, bool isRetry)
 {
     const EntryAdmission::Request request{pending.operation, pending.rank, isRetry};
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilpaddle/base/latencyhistogram.h>
+#include <chervilpaddle/controllers/delayedretrydetector.h>
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
@@ -111,7 +112,6 @@
     bool refuseIfOverloaded(const PendingRequest &pending, bool isRetry);
     //! Responds to and logs a request if a service of its call tree cannot be reached; true if it was refused.
     bool refuseIfUnreachable(const PendingRequest &pending);
-    bool isRetryAfterRefusal(const IncomingCall &incoming, const Route &route);
     void publishClearingRank();
     void setPeerClearingRank(const InstanceId &instance, Rank rank);
     //! Ends a request: records its costs, logs it unless it succeeded, and responds.
@@ -153,8 +153,7 @@
     TrafficSplit m_trafficSplit;
     RetryBudget m_retryBudget;
     EntryAdmission m_admission;
-    //! The longest caller time-out seen on each route; callers with less time left are retrying.
-    std::unordered_map<RouteName, Duration> m_maxCallerTimeouts;
+    DelayedRetryDetector m_delayedRetries;
     Rank m_publishedClearingRank = 0;
     TimePoint m_clearingRankPublishedAt;
     MeshBackend m_backend;
