Do not open a connection to a peer after it was closed, or after the shutdown

Callers could see: a node that cannot reach a peer although both run, and memory that grows, where resolving the names of peers takes longer than 250 ms. A link is dialled, given up, and dialled again twice a second; each dial given up opened later all the same, and stayed open at both ends. At a shutdown: peers that link to a node which has closed all its connections (suspected, not seen).

Cause: closing a connection that is not open yet closes its socket, but while the name is being resolved there is none. The completion that is queued opens the connection for a user that has forgotten it. An accepted connection whose handshake arrives after the shutdown was opened as well, and a link that ended by the shutdown was dialled again.

Change: a dial that is closed has ended at once, and is closed when it opens nevertheless. After the shutdown nothing is opened or dialled. Each end is reported exactly once, and not from within shutdown().

--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -80,6 +80,10 @@
             return m_server.get_con_from_hdl(handle)->get_request_header("Sec-WebSocket-Version") == protocolVersion;
         });
         m_server.set_open_handler([this](const connection_hdl &handle) {
+            if (m_isShutDown) {
+                closeOn(m_server, handle);
+                return;
+            }
             const ConnectionId id(++m_lastId);
             const auto connection = m_server.get_con_from_hdl(handle);
             setNoDelay(*connection);
@@ -111,12 +115,17 @@
         const ConnectionId id(++m_lastId);
         websocketpp::lib::error_code error;
         const auto connection = m_client.get_connection("ws://" + toText(address) + "/peer", error);
-        if (error) {
+        if (error || m_isShutDown) {
             boost::asio::post(m_context, [self = shared_from_this(), id] { self->m_hooks.closed(id); });
             return id;
         }
         // The handler must not own its connection: the reference cycle would leak both.
         connection->set_open_handler([this, id](const connection_hdl &handle) {
+            if (m_outbound.count(id) == 0) {
+                // Closed while it was being opened.
+                closeOn(m_client, handle);
+                return;
+            }
             setNoDelay(*m_client.get_con_from_hdl(handle));
             m_hooks.opened(id, false);
         });
@@ -146,6 +155,7 @@
 
     void shutdown()
     {
+        m_isShutDown = true;
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         m_acceptTimer.cancel();
@@ -157,7 +167,7 @@
             ids.push_back(entry.first);
         }
         for (const ConnectionId id : ids) {
-            closeNow(id);
+            close(id);
         }
     }
 
@@ -248,37 +258,43 @@
         }
     }
 
+    //! A connection that is not open yet has ended for its user at once: while its host name is being resolved, nothing can stop it.
     void closeNow(ConnectionId id)
     {
-        websocketpp::lib::error_code ignored;
         if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
-            closeOn(m_client, outbound->second);
+            if (const bool isOpening = !closeOn(m_client, outbound->second); isOpening) {
+                removeConnection(id);
+            }
         } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
             closeOn(m_server, inbound->second);
         }
     }
 
+    //! Returns false if the connection is not open yet.
     template<typename EndpointType>
-    void closeOn(EndpointType &endpoint, const connection_hdl &handle)
+    bool closeOn(EndpointType &endpoint, const connection_hdl &handle)
     {
         websocketpp::lib::error_code error;
         const auto connection = endpoint.get_con_from_hdl(handle, error);
         if (error) {
-            return;
+            return true;
         }
-        if (connection->get_state() == websocketpp::session::state::open) {
+        const auto state = connection->get_state();
+        if (state == websocketpp::session::state::open) {
             connection->close(websocketpp::close::status::normal, "", error);
         } else {
             boost::system::error_code ignored;
             connection->get_raw_socket().close(ignored);
         }
+        return state != websocketpp::session::state::connecting;
     }
 
+    //! Reports the end of a connection, unless it has been reported.
     void removeConnection(ConnectionId id)
     {
-        m_outbound.erase(id);
-        m_inbound.erase(id);
-        m_hooks.closed(id);
+        if (m_outbound.erase(id) + m_inbound.erase(id) != 0) {
+            m_hooks.closed(id);
+        }
     }
 
     boost::asio::io_context &m_context;
@@ -288,6 +304,7 @@
     Server m_server;
     Client m_client;
     std::uint64_t m_lastId = 0;
+    bool m_isShutDown = false;
     std::unordered_map<ConnectionId, connection_hdl> m_outbound;
     std::unordered_map<ConnectionId, connection_hdl> m_inbound;
 };
