Count the time for which a local call is queued against its deadline

Callers could see: a call that may not be repeated failed as unknown at its deadline, and ran after it. The node had stood still between the sending of a call to its own executor and its submission.

Cause: the message says how long the call may still take, as of when it was sent. For frames of a link the time until they are read is estimated and subtracted; for local calls it was taken as zero. The executor started a call whose deadline had passed, and the router's timer, queued behind it, could no longer stop it.

Evidence, for the logic moved out of the two cores as it was:

a_call_whose_deadline_passes_while_it_is_queued_does_not_run: fixture.started.empty() is false

Change: one class for what both cores did, which passes on how long the message waited. NodeCore now also announces a new incarnation that a local call has caused, as for calls of peers.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -96,6 +96,7 @@
     m_executor =
         std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, initialSlots, policy, tickets}, executorHooks());
     m_executor->assumeOrphanedRuns();
+    m_localCalls = std::make_unique<LocalCalls>(localCallsHooks());
     m_router = std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, policy, m_random()}, routerHooks());
     // Marked as draining until the instance list names this node's backend server, so that no calls are sent to it.
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true, {}};
@@ -163,6 +164,19 @@
             [this](const CallMessage &call) { return startRefusal(call); }};
 }
 
+LocalCalls::Hooks MeshCore::localCallsHooks()
+{
+    LocalCalls::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.post = [this](std::function<void()> action) { boost::asio::post(m_context, std::move(action)); };
+    hooks.submit = [this](const CallMessage &call, Duration queueingDelay, Executor::Reply reply) {
+        submit(call, queueingDelay, std::move(reply));
+    };
+    hooks.cancel = [this](const TicketId &ticket) { m_executor->cancel(ticket); };
+    hooks.respond = [this](const ResponseMessage &response) { m_router->handleResponse(m_settings.instance, response); };
+    return hooks;
+}
+
 Router::Hooks MeshCore::routerHooks()
 {
     Router::Hooks hooks;
@@ -384,21 +398,10 @@
     if (instance != m_settings.instance) {
         return m_links->send(instance, message);
     }
-    boost::asio::post(m_context, [this, message] { submitLocally(message); });
+    m_localCalls->send(message);
     return true;
 }
 
-void MeshCore::submitLocally(const PeerMessage &message)
-{
-    if (const auto *call = std::get_if<CallMessage>(&message); call != nullptr) {
-        submit(*call, Duration::zero(), [this](const ResponseMessage &response) {
-            boost::asio::post(m_context, [this, response] { m_router->handleResponse(m_settings.instance, response); });
-        });
-    } else if (const auto *cancel = std::get_if<CancelMessage>(&message); cancel != nullptr) {
-        m_executor->cancel(cancel->ticket);
-    }
-}
-
 void MeshCore::handlePeerMessage(PeerEvent event)
 {
     if (auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -5,6 +5,7 @@
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/localcalls.h>
 #include <chervilpaddle/controllers/retrybudget.h>
 #include <chervilpaddle/controllers/storereplication.h>
 #include <chervilpaddle/controllers/trafficsplit.h>
@@ -104,6 +105,7 @@
     void makeControllers();
     StoreReplication::Hooks replicationHooks();
     Executor::Hooks executorHooks();
+    LocalCalls::Hooks localCallsHooks();
     Router::Hooks routerHooks();
 
     void dispatch(const std::shared_ptr<HttpExchange> &exchange, const IncomingCall &incoming, const Route &route);
@@ -122,7 +124,6 @@
     std::optional<Duration> retryAfter(const PendingRequest &pending, const CallResult &result);
 
     bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
-    void submitLocally(const PeerMessage &message);
     void handlePeerMessage(PeerEvent event);
     std::optional<ResultCode> startRefusal(const CallMessage &call) const;
     void submit(CallMessage call, Duration queueingDelay, Executor::Reply reply);
@@ -160,6 +161,7 @@
     HttpClient m_storeClient;
     std::unique_ptr<PeerTransport> m_transport;
     std::unique_ptr<Executor> m_executor;
+    std::unique_ptr<LocalCalls> m_localCalls;
     std::unique_ptr<Router> m_router;
     std::unique_ptr<LinkController> m_links;
     std::unique_ptr<StoreReplication> m_replication;
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -48,6 +48,7 @@
     m_transport = std::make_unique<PeerTransport>(m_context, makeTransportHooks(m_clock, m_links, m_log));
     m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, initialSlots, m_settings.policy, {}},
                                             executorHooks());
+    m_localCalls = std::make_unique<LocalCalls>(localCallsHooks());
     m_router =
         std::make_unique<Router>(Router::Options{m_settings.dataCentre, m_incarnation, m_settings.policy, m_random()}, routerHooks());
     const Candidate self{m_settings.instance, m_incarnation, m_settings.dataCentre, true};
@@ -81,6 +82,20 @@
     return {m_clock, [this](const Run &run) { m_backend.start(run); }, [this](RunId run) { cancelRun(run); }};
 }
 
+LocalCalls::Hooks NodeCore::localCallsHooks()
+{
+    LocalCalls::Hooks hooks;
+    hooks.clock = m_clock;
+    hooks.post = [this](std::function<void()> action) { boost::asio::post(m_context, std::move(action)); };
+    hooks.submit = [this](const CallMessage &call, Duration queueingDelay, Executor::Reply reply) {
+        m_executor->submit(call, queueingDelay, std::move(reply));
+        updateIncarnation();
+    };
+    hooks.cancel = [this](const TicketId &ticket) { m_executor->cancel(ticket); };
+    hooks.respond = [this](const ResponseMessage &response) { m_router->handleResponse(m_settings.instance, response); };
+    return hooks;
+}
+
 Router::Hooks NodeCore::routerHooks()
 {
     return {m_clock,
@@ -248,21 +263,10 @@
     if (instance != m_settings.instance) {
         return m_links->send(instance, message);
     }
-    boost::asio::post(m_context, [this, message] { submitLocally(message); });
+    m_localCalls->send(message);
     return true;
 }
 
-void NodeCore::submitLocally(const PeerMessage &message)
-{
-    if (const auto *call = std::get_if<CallMessage>(&message); call != nullptr) {
-        m_executor->submit(*call, Duration::zero(), [this](const ResponseMessage &response) {
-            boost::asio::post(m_context, [this, response] { m_router->handleResponse(m_settings.instance, response); });
-        });
-    } else if (const auto *cancel = std::get_if<CancelMessage>(&message); cancel != nullptr) {
-        m_executor->cancel(cancel->ticket);
-    }
-}
-
 void NodeCore::handlePeerMessage(PeerEvent event)
 {
     if (auto *call = std::get_if<CallMessage>(&event.message); call != nullptr) {
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -4,6 +4,7 @@
 #include <chervilpaddle/controllers/configurationsync.h>
 #include <chervilpaddle/controllers/executor.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/localcalls.h>
 #include <chervilpaddle/controllers/ratelimiter.h>
 #include <chervilpaddle/controllers/requestcoalescer.h>
 #include <chervilpaddle/controllers/router.h>
@@ -92,11 +93,11 @@
 
     void makeControllers();
     Executor::Hooks executorHooks();
+    LocalCalls::Hooks localCallsHooks();
     Router::Hooks routerHooks();
     ConfigurationSync::Hooks syncHooks();
 
     bool sendToInstance(const InstanceId &instance, const PeerMessage &message);
-    void submitLocally(const PeerMessage &message);
     void handlePeerMessage(PeerEvent event);
     void submitFromPeer(const PeerEvent &event, CallMessage call);
     void runFinished(RunId run, const BackendResult &result);
@@ -131,6 +132,7 @@
     ConfigurationClient m_configurationClient;
     std::unique_ptr<PeerTransport> m_transport;
     std::unique_ptr<Executor> m_executor;
+    std::unique_ptr<LocalCalls> m_localCalls;
     std::unique_ptr<Router> m_router;
     std::unique_ptr<LinkController> m_links;
     std::unique_ptr<ConfigurationSync> m_sync;
