Forget starts of backend servers that left long ago

Each start of a backend server that has left was remembered for as long as the node ran, about 100 bytes each, so that no call for it starts. No call can arrive for it once the longest deadline has passed.

Evidence, on the code before: starts_that_left_long_ago_are_forgotten: 2000 starts, all kept.

--- a/src/chervilpaddle/controllers/instancedirectory.cpp
+++ b/src/chervilpaddle/controllers/instancedirectory.cpp
@@ -1,5 +1,7 @@
 #include <chervilpaddle/controllers/instancedirectory.h>
 
+#include <iterator>
+
 namespace chervilpaddle {
 
 namespace {
@@ -8,6 +10,8 @@
 //! An entry may also be missing because its instance is leaving. The platform requires that no new calls are sent to a leaving
 //! instance after two seconds, so a missing entry is retained for less than that.
 constexpr Duration maxRetention = std::chrono::milliseconds(1500);
+//! Twice the longest deadline that a contract can have.
+constexpr Duration departedLifetime = std::chrono::minutes(10);
 } // namespace
 
 void InstanceDirectory::update(const std::vector<Entry> &entries, std::optional<TimePoint> availableSince, TimePoint now)
@@ -17,7 +21,7 @@
         const BackendId &backend = entry.instance.backend;
         next[backend] = entry;
         m_missingSince.erase(backend);
-        entry.instance.leaving ? static_cast<void>(m_departed.insert(backend)) : static_cast<void>(m_departed.erase(backend));
+        entry.instance.leaving ? static_cast<void>(m_departed[backend] = now) : static_cast<void>(m_departed.erase(backend));
     }
     for (const auto &[backend, entry] : m_entries) {
         if (next.count(backend) != 0) {
@@ -27,11 +31,14 @@
             next[backend] = entry;
             m_missingSince.try_emplace(backend, now);
         } else {
-            m_departed.insert(backend);
+            m_departed[backend] = now;
             m_missingSince.erase(backend);
         }
     }
     m_entries = std::move(next);
+    for (auto departed = m_departed.begin(); departed != m_departed.end();) {
+        departed = now - departed->second > departedLifetime ? m_departed.erase(departed) : std::next(departed);
+    }
 }
 
 bool InstanceDirectory::expire(std::optional<TimePoint> availableSince, TimePoint now)
@@ -45,7 +52,7 @@
             continue;
         }
         m_entries.erase(backend);
-        m_departed.insert(backend);
+        m_departed[backend] = now;
         missing = m_missingSince.erase(missing);
         isChanged = true;
     }
@@ -74,6 +81,11 @@
     return m_departed.count(backend) != 0;
 }
 
+std::size_t InstanceDirectory::departedCount() const
+{
+    return m_departed.size();
+}
+
 bool InstanceDirectory::mayReappear(std::optional<TimePoint> availableSince, TimePoint now) const
 {
     return !availableSince || now - *availableSince < reregistrationLimit;
--- a/src/chervilpaddle/controllers/instancedirectory.h
+++ b/src/chervilpaddle/controllers/instancedirectory.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 
 namespace chervilpaddle {
 
@@ -32,8 +31,11 @@
 
     //! The instances without duplicates, ordered by id.
     std::vector<PublishedInstance> instances() const;
-    //! Whether this start of a backend server is leaving or was removed. No new calls may be sent to it.
+    //! Whether this start of a backend server is leaving or was removed, which is remembered for longer than any call takes. No new
+    //! calls may be sent to it.
     bool hasLeft(const BackendId &backend) const;
+    //! The number of starts for which hasLeft() is true.
+    std::size_t departedCount() const;
 
 private:
     bool mayReappear(std::optional<TimePoint> availableSince, TimePoint now) const;
@@ -41,7 +43,8 @@
     std::map<BackendId, Entry> m_entries;
     //! Entries that are retained although they are missing from the store, with the time at which they disappeared.
     std::map<BackendId, TimePoint> m_missingSince;
-    std::set<BackendId> m_departed;
+    //! When each start was last seen leaving or was removed.
+    std::map<BackendId, TimePoint> m_departed;
 };
 
 } // namespace chervilpaddle
--- a/tests/controllers/instancedirectory.cpp
+++ b/tests/controllers/instancedirectory.cpp
@@ -74,3 +74,18 @@
     cr_assert(directory.hasLeft(BackendId("a")));
     cr_assert_eq(directory.instances().size(), 1);
 }
+
+//! A call for a start that has left can no longer arrive after the longest deadline.
+Test(instancedirectory, starts_that_left_long_ago_are_forgotten)
+{
+    InstanceDirectory directory;
+    TimePoint now(std::chrono::seconds(100));
+    const auto availableSince = now - std::chrono::hours(1);
+    for (int number = 0; number < 2000; ++number) {
+        now += std::chrono::seconds(10);
+        directory.update({entry("x-1", "b" + std::to_string(number), number)}, availableSince, now);
+        cr_assert(number < 30 || directory.hasLeft(BackendId("b" + std::to_string(number - 30))), "within the longest deadline");
+        cr_assert_not(directory.hasLeft(BackendId("b" + std::to_string(number))));
+    }
+    cr_assert_leq(directory.departedCount(), 100);
+}
