Count only those frames to peers that are sent

A frame that a connection no longer accepts, because it is closing or closed, was counted as sent. Calls among them are not lost: their callers send them again over the next link. Only the metrics were wrong.

Evidence, on the code before: frames_that_are_not_sent_are_not_counted: totalBytes() == sentBytes is false.

--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -139,12 +139,14 @@
     void send(ConnectionId id, const PeerMessage &message)
     {
         const std::string bytes = encodeFrame({message, m_hooks.clock()});
-        m_sent.record(message, bytes.size());
-        websocketpp::lib::error_code error;
+        bool isSent = false;
         if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
-            sendOn(m_client, outbound->second, id, bytes);
+            isSent = sendOn(m_client, outbound->second, id, bytes);
         } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
-            sendOn(m_server, inbound->second, id, bytes);
+            isSent = sendOn(m_server, inbound->second, id, bytes);
+        }
+        if (isSent) {
+            m_sent.record(message, bytes.size());
         }
     }
 
@@ -226,19 +228,20 @@
         connection.get_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     }
 
+    //! Returns false if the connection does not accept the frame.
     template<typename EndpointType>
-    void sendOn(EndpointType &endpoint, const connection_hdl &handle, ConnectionId id, const std::string &bytes)
+    bool sendOn(EndpointType &endpoint, const connection_hdl &handle, ConnectionId id, const std::string &bytes)
     {
         websocketpp::lib::error_code error;
         const auto connection = endpoint.get_con_from_hdl(handle, error);
         if (error) {
-            return;
+            return false;
         }
         if (connection->get_buffered_amount() > maxUnsentBytes) {
             close(id);
-            return;
+            return false;
         }
-        connection->send(bytes, websocketpp::frame::opcode::binary);
+        return !connection->send(bytes, websocketpp::frame::opcode::binary);
     }
 
     void handleFrame(ConnectionId id, const std::string &bytes)
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -360,7 +360,23 @@
         pair.runFor(std::chrono::milliseconds(50));
     }
 
-    Test(peertransport, a_dial_that_is_closed_at_once_leaves_no_end_open)
+    Test(peertransport, frames_that_are_not_sent_are_not_counted)
+{
+    Pair pair(29050);
+    const ConnectionId id = pair.open();
+    pair.a.send(id);
+    const std::uint64_t sentBytes = pair.a.transport.sent().totalBytes();
+    cr_expect_gt(sentBytes, 0);
+    pair.a.close(id);
+    pair.context.restart();
+    pair.context.poll();
+    pair.a.send(id);
+    pair.runFor(std::chrono::milliseconds(800));
+    pair.a.send(id);
+    cr_expect_eq(pair.a.transport.sent().totalBytes(), sentBytes);
+}
+
+Test(peertransport, a_dial_that_is_closed_at_once_leaves_no_end_open)
     {
         Pair pair(29020);
         for (int i = 0; i < 20; ++i) {
