--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -609,12 +609,12 @@
 //! Guards against requests that cross the end of the process: what has arrived is handled and answered, what has not is not read.
 Test(httpserver, closing_answers_each_request_that_has_arrived_and_closes_idle_connections)
 {
-    constexpr int connections = 20;
+    constexpr std::size_t connections = 20;
     CountingServer server;
     asio::io_context context;
     std::vector<tcp::socket> idle;
     std::vector<tcp::socket> asking;
-    for (int i = 0; i < connections; ++i) {
+    for (std::size_t i = 0; i < connections; ++i) {
         idle.push_back(server.connect(context));
         asking.push_back(server.connect(context));
         cr_assert_eq(statusLineOf(idle.back(), "GET / HTTP/1.1\r\n\r\n"), "HTTP/1.1 200 OK");
