Judge a new backend server by its own answers

Callers could see: refusals for want of capacity after a backend server had been replaced. Its instance stayed ejected for up to 32 s, as the failures of its predecessor counted against it, also those that were reported after the replacement; the same for slowness.

Cause: health and speed are kept by instance, and were forgotten only when the node, not when the backend server was replaced.

Evidence, on the code before:

the_failures_of_a_backend_server_do_not_count_against_its_successor: 0 of 100 calls failures_that_are_reported_after_a_backend_server_was_replaced_do_not_count: 0 of 100 calls

Change: the instance list tells the router each instance's backend server. A new one starts without a record, and the end of a call counts only if the call was meant for the current one.

--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -236,8 +236,10 @@
     m_picker.recordLoad(instance, response.load, m_hooks.clock());
     m_picker.prices().record(instance, pending.call.context.operation, response.price, m_hooks.clock());
     pending.costs.insert(pending.costs.end(), response.costs.begin(), response.costs.end());
-    recordHealth(instance, response.code);
-    recordLatency(pending, response.code);
+    if (isAtCurrentBackend(*pending.message)) {
+        recordHealth(instance, response.code);
+        recordLatency(pending, response.code);
+    }
     handleAttemptEnd(id, response.code, response.payload);
 }
 
@@ -327,7 +329,9 @@
     if (found == m_pending.end()) {
         return;
     }
-    recordLatency(found->second, ResultCode::DeadlineWhileRunning);
+    if (found->second.message && isAtCurrentBackend(*found->second.message)) {
+        recordLatency(found->second, ResultCode::DeadlineWhileRunning);
+    }
     sendCancel(found->second);
     finish(id, ResultCode::DeadlineWhileRunning, {});
 }
@@ -371,6 +375,23 @@
     }
 }
 
+void Router::setBackend(const InstanceId &instance, const BackendId &backend)
+{
+    const auto [current, isFirst] = m_backends.try_emplace(instance, backend);
+    if (isFirst || current->second == backend) {
+        return;
+    }
+    current->second = backend;
+    m_picker.outlierDetector().forget(instance);
+    m_picker.latencyEstimator().forget(instance);
+}
+
+bool Router::isAtCurrentBackend(const CallMessage &call) const
+{
+    const auto current = m_backends.find(call.ticket.executor);
+    return current == m_backends.end() || current->second == call.context.backend;
+}
+
 std::optional<Ticket> Router::issueTicket(const OperationName &operation, Rank rank)
 {
     const std::set<InstanceId> none;
--- a/src/chervilpaddle/controllers/router.h
+++ b/src/chervilpaddle/controllers/router.h
@@ -105,6 +105,9 @@
     //! A new link to the same incarnation is open: resends all outstanding calls under their tickets.
     void handleInstanceReconnected(const InstanceId &instance);
 
+    //! Sets the backend server that an instance has now. The health and speed of an earlier one no longer count.
+    void setBackend(const InstanceId &instance, const BackendId &backend);
+
     //! Issues a ticket to an external client, bound to a linked instance of the service. Returns nothing if none is available.
     std::optional<Ticket> issueTicket(const OperationName &operation, Rank rank);
 
@@ -146,6 +149,7 @@
     void finish(CallId id, ResultCode code, const Payload &payload);
     void handleDeadline(CallId id);
     void sendCancel(const PendingCall &pending);
+    bool isAtCurrentBackend(const CallMessage &call) const;
     void recordHealth(const InstanceId &instance, ResultCode code);
     void recordLatency(const PendingCall &pending, ResultCode code);
     void closeAttempt(PendingCall &pending);
@@ -161,6 +165,7 @@
     std::unordered_map<CallId, PendingCall> m_pending;
     std::unordered_map<TicketId, CallId> m_callByTicket;
     std::unordered_map<InstanceId, std::set<TicketId>> m_ticketsByInstance;
+    std::unordered_map<InstanceId, BackendId> m_backends;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -549,6 +549,7 @@
     std::set<InstanceId> instanceIds;
     for (const PublishedInstance &instance : m_instances) {
         instanceIds.insert(instance.instance);
+        m_router->setBackend(instance.instance, instance.backend);
     }
     m_admission.retainInstances(instanceIds);
     const auto own =
--- a/tests/controllers/router.cpp
+++ b/tests/controllers/router.cpp
@@ -293,6 +293,86 @@
     cr_assert(fixture.results.empty(), "some instances are still called when all of them fail");
 }
 
+namespace {
+
+//! Three instances, of which the first has another backend server from some time on.
+class ReplacedBackendFixture : public RouterFixture
+{
+public:
+    ReplacedBackendFixture()
+    {
+        setFirstBackend("old");
+    }
+
+    void setFirstBackend(const std::string &backend)
+    {
+        candidates.front().backend = BackendId(backend);
+        router.setBackend(candidates.front().instance, BackendId(backend));
+    }
+
+    //! Makes a call, and answers it unless it goes to the first instance. Returns whether it does.
+    bool callOthers()
+    {
+        call(true, 0);
+        const bool isFirst = sent.back().first == candidates.front().instance;
+        if (!isFirst) {
+            respondToLast(ResultCode::Done);
+        }
+        return isFirst;
+    }
+
+    int countOfCallsToFirst(int calls)
+    {
+        int count = 0;
+        for (int i = 0; i < calls; ++i) {
+            time.runFor(std::chrono::milliseconds(1));
+            if (callOthers()) {
+                ++count;
+                respondToLast(ResultCode::Done);
+            }
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+Test(router, the_failures_of_a_backend_server_do_not_count_against_its_successor)
+{
+    ReplacedBackendFixture fixture;
+    for (int i = 0; i < 300; ++i) {
+        if (fixture.callOthers()) {
+            fixture.respondToLast(ResultCode::AnswerLost);
+        }
+    }
+    cr_assert_eq(fixture.countOfCallsToFirst(100), 0);
+    fixture.setFirstBackend("new");
+    const int count = fixture.countOfCallsToFirst(100);
+    cr_assert_geq(count, 20, "%d of 100 calls", count);
+}
+
+Test(router, failures_that_are_reported_after_a_backend_server_was_replaced_do_not_count)
+{
+    ReplacedBackendFixture fixture;
+    const auto setOthersDraining = [&fixture](bool draining) {
+        fixture.candidates[1].draining = draining;
+        fixture.candidates[2].draining = draining;
+    };
+    setOthersDraining(true);
+    std::vector<CallMessage> outstanding;
+    for (int i = 0; i < 10; ++i) {
+        cr_assert(fixture.callOthers());
+        outstanding.push_back(fixture.lastCall());
+    }
+    setOthersDraining(false);
+    fixture.setFirstBackend("new");
+    for (const CallMessage &call : outstanding) {
+        fixture.router.handleResponse(call.ticket.executor, fixture.responseTo(call, ResultCode::AnswerLost));
+    }
+    const int count = fixture.countOfCallsToFirst(100);
+    cr_assert_geq(count, 20, "%d of 100 calls", count);
+}
+
 Test(router, the_deadline_ends_a_call_as_unknown_and_cancels_it)
 {
     RouterFixture fixture;
