Look up the peer only of connections that are silent

Each tick compared every connection with every peer: of 128 instances, 32 thousand comparisons each 50 ms, for connections that are rarely silent. No change of behaviour.

--- a/src/chervilpaddle/controllers/linkcontroller.cpp
+++ b/src/chervilpaddle/controllers/linkcontroller.cpp
@@ -302,10 +302,13 @@
 {
     std::vector<ConnectionId> silent;
     for (const auto &[id, connection] : m_connections) {
+        if (now - connection.lastReceivedAt <= idleLinkTimeout) {
+            continue;
+        }
         const bool belongsToPeer = std::any_of(m_peers.begin(), m_peers.end(), [id = id](const auto &entry) {
             return entry.second.activeConnection == id || entry.second.dialingConnection == id;
         });
-        if (now - connection.lastReceivedAt > idleLinkTimeout && !belongsToPeer) {
+        if (!belongsToPeer) {
             silent.push_back(id);
         }
     }
