--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -224,143 +224,144 @@
         }
         cr_expect_lt(sent, tests::maxFloodBytes, "%s: %zu bytes were taken", testCase.description, sent);
     }
+}
 
-    namespace {
+namespace {
 
-    //! A transport that counts what its hooks report.
-    class TransportFixture
+//! A transport that counts what its hooks report.
+class TransportFixture
+{
+public:
+    TransportFixture(asio::io_context &context, std::uint16_t port)
+        : address{"127.0.0.1", port}
+        , transport(context, hooks())
     {
-    public:
-        TransportFixture(asio::io_context &context, std::uint16_t port)
-            : address{"127.0.0.1", port}
-            , transport(context, hooks())
-        {
-            cr_assert(!transport.listen(address));
-        }
-
-        PeerTransport::Hooks hooks()
-        {
-            PeerTransport::Hooks hooks;
-            hooks.clock = steadyClock();
-            hooks.opened = [this](ConnectionId id, bool /*inbound*/) {
-                cr_expect_not(isInCall, "opened from within a call");
-                ++opened[id];
-                last = id;
-                if (onOpened) {
-                    onOpened(id);
-                }
-            };
-            hooks.received = [this](ConnectionId id, const PeerFrame & /*frame*/) { ++received[id]; };
-            hooks.closed = [this](ConnectionId id) {
-                cr_expect_not(isInCall, "closed from within a call");
-                ++closed[id];
-            };
-            hooks.frameRejected = [](ConnectionId /*id*/, std::error_code /*error*/) {};
-            return hooks;
-        }
-
-        template<typename Action>
-        auto call(Action action)
-        {
-            isInCall = true;
-            const auto result = action();
-            isInCall = false;
-            return result;
-        }
-
-        void close(ConnectionId id)
-        {
-            call([&] { return transport.close(id), 0; });
-        }
-
-        void send(ConnectionId id)
-        {
-            call([&] { return transport.send(id, StatusMessage()), 0; });
-        }
+        cr_assert(!transport.listen(address));
+    }
 
-        int openCount() const
-        {
-            int count = 0;
-            for (const auto &[id, times] : opened) {
-                count += times - (closed.count(id) != 0 ? closed.at(id) : 0);
+    PeerTransport::Hooks hooks()
+    {
+        PeerTransport::Hooks hooks;
+        hooks.clock = steadyClock();
+        hooks.opened = [this](ConnectionId id, bool /*inbound*/) {
+            cr_expect_not(isInCall, "opened from within a call");
+            ++opened[id];
+            last = id;
+            if (onOpened) {
+                onOpened(id);
             }
-            return count;
-        }
+        };
+        hooks.received = [this](ConnectionId id, const PeerFrame & /*frame*/) { ++received[id]; };
+        hooks.closed = [this](ConnectionId id) {
+            cr_expect_not(isInCall, "closed from within a call");
+            ++closed[id];
+        };
+        hooks.frameRejected = [](ConnectionId /*id*/, std::error_code /*error*/) {};
+        return hooks;
+    }
 
-        Endpoint address;
-        std::map<ConnectionId, int> opened;
-        std::map<ConnectionId, int> received;
-        std::map<ConnectionId, int> closed;
-        ConnectionId last;
-        std::function<void(ConnectionId)> onOpened;
-        bool isInCall = false;
-        PeerTransport transport;
-    };
+    template<typename Action>
+    auto call(Action action)
+    {
+        isInCall = true;
+        const auto result = action();
+        isInCall = false;
+        return result;
+    }
 
-    struct Pair
+    void close(ConnectionId id)
     {
-        explicit Pair(std::uint16_t port)
-            : a(context, port)
-            , b(context, static_cast<std::uint16_t>(port + 1))
-        {
-        }
+        call([&] { return transport.close(id), 0; });
+    }
 
-        void runFor(std::chrono::milliseconds length)
-        {
-            context.restart();
-            context.run_for(length);
-        }
+    void send(ConnectionId id)
+    {
+        call([&] { return transport.send(id, StatusMessage()), 0; });
+    }
 
-        //! Opens a connection from one to the other.
-        ConnectionId open()
-        {
-            const ConnectionId id = a.call([this] { return a.transport.dial(b.address); });
-            for (int i = 0; i < 100 && (a.opened[id] == 0 || b.opened.empty()); ++i) {
-                runFor(std::chrono::milliseconds(20));
-            }
-            cr_assert_eq(a.opened[id], 1);
-            return id;
+    int openCount() const
+    {
+        int count = 0;
+        for (const auto &[id, times] : opened) {
+            count += times - (closed.count(id) != 0 ? closed.at(id) : 0);
         }
+        return count;
+    }
 
-        asio::io_context context;
-        TransportFixture a;
-        TransportFixture b;
-    };
+    Endpoint address;
+    std::map<ConnectionId, int> opened;
+    std::map<ConnectionId, int> received;
+    std::map<ConnectionId, int> closed;
+    ConnectionId last;
+    std::function<void(ConnectionId)> onOpened;
+    bool isInCall = false;
+    PeerTransport transport;
+};
 
-    } // namespace
+struct Pair
+{
+    explicit Pair(std::uint16_t port)
+        : a(context, port)
+        , b(context, static_cast<std::uint16_t>(port + 1))
+    {
+    }
 
-    Test(peertransport, each_end_is_told_once_when_both_close_at_the_same_time)
+    void runFor(std::chrono::milliseconds length)
     {
-        Pair pair(29000);
-        const ConnectionId id = pair.open();
-        const ConnectionId accepted = pair.b.last;
-        pair.a.close(id);
-        pair.a.close(id);
-        pair.b.close(accepted);
-        pair.runFor(std::chrono::milliseconds(800));
-        cr_expect_eq(pair.a.closed[id], 1);
-        cr_expect_eq(pair.b.closed[accepted], 1);
+        context.restart();
+        context.run_for(length);
     }
 
-    Test(peertransport, frames_that_cross_a_close_are_dropped_and_the_sender_is_told_of_the_close)
+    //! Opens a connection from one to the other.
+    ConnectionId open()
     {
-        Pair pair(29010);
-        const ConnectionId id = pair.open();
-        const ConnectionId accepted = pair.b.last;
-        pair.a.close(id);
-        for (int i = 0; i < 50; ++i) {
-            pair.b.send(accepted);
+        const ConnectionId id = a.call([this] { return a.transport.dial(b.address); });
+        for (int i = 0; i < 100 && (a.opened[id] == 0 || b.opened.empty()); ++i) {
+            runFor(std::chrono::milliseconds(20));
         }
-        pair.runFor(std::chrono::milliseconds(800));
-        cr_expect_eq(pair.a.received[id], 0);
-        cr_expect_eq(pair.a.closed[id], 1);
-        cr_expect_eq(pair.b.closed[accepted], 1, "otherwise the calls would not be sent again");
+        cr_assert_eq(a.opened[id], 1);
+        return id;
+    }
+
+    asio::io_context context;
+    TransportFixture a;
+    TransportFixture b;
+};
+
+} // namespace
+
+Test(peertransport, each_end_is_told_once_when_both_close_at_the_same_time)
+{
+    Pair pair(29000);
+    const ConnectionId id = pair.open();
+    const ConnectionId accepted = pair.b.last;
+    pair.a.close(id);
+    pair.a.close(id);
+    pair.b.close(accepted);
+    pair.runFor(std::chrono::milliseconds(800));
+    cr_expect_eq(pair.a.closed[id], 1);
+    cr_expect_eq(pair.b.closed[accepted], 1);
+}
+
+Test(peertransport, frames_that_cross_a_close_are_dropped_and_the_sender_is_told_of_the_close)
+{
+    Pair pair(29010);
+    const ConnectionId id = pair.open();
+    const ConnectionId accepted = pair.b.last;
+    pair.a.close(id);
+    for (int i = 0; i < 50; ++i) {
         pair.b.send(accepted);
-        pair.a.send(id);
-        pair.runFor(std::chrono::milliseconds(50));
     }
+    pair.runFor(std::chrono::milliseconds(800));
+    cr_expect_eq(pair.a.received[id], 0);
+    cr_expect_eq(pair.a.closed[id], 1);
+    cr_expect_eq(pair.b.closed[accepted], 1, "otherwise the calls would not be sent again");
+    pair.b.send(accepted);
+    pair.a.send(id);
+    pair.runFor(std::chrono::milliseconds(50));
+}
 
-    Test(peertransport, frames_that_are_not_sent_are_not_counted)
+Test(peertransport, frames_that_are_not_sent_are_not_counted)
 {
     Pair pair(29050);
     const ConnectionId id = pair.open();
@@ -377,49 +378,50 @@
 }
 
 Test(peertransport, a_dial_that_is_closed_at_once_leaves_no_end_open)
-    {
-        Pair pair(29020);
-        for (int i = 0; i < 20; ++i) {
-            const ConnectionId id = pair.a.call([&pair] { return pair.a.transport.dial(pair.b.address); });
-            if (i % 2 == 0) {
-                pair.a.close(id);
-            } else {
-                pair.context.restart();
-                pair.context.poll_one();
-                pair.a.close(id);
-            }
-            pair.runFor(std::chrono::milliseconds(50));
-            cr_expect_eq(pair.a.closed[id], 1, "dial %d", i);
+{
+    Pair pair(29020);
+    for (int i = 0; i < 20; ++i) {
+        const ConnectionId id = pair.a.call([&pair] { return pair.a.transport.dial(pair.b.address); });
+        if (i % 2 == 0) {
+            pair.a.close(id);
+        } else {
+            pair.context.restart();
+            pair.context.poll_one();
+            pair.a.close(id);
         }
-        pair.runFor(std::chrono::milliseconds(800));
-        cr_expect_eq(pair.b.openCount(), 0);
+        pair.runFor(std::chrono::milliseconds(50));
+        cr_expect_eq(pair.a.closed[id], 1, "dial %d", i);
     }
+    pair.runFor(std::chrono::milliseconds(800));
+    cr_expect_eq(pair.b.openCount(), 0);
+}
 
-    Test(peertransport, a_refused_dial_is_reported_once)
-    {
-        Pair pair(29030);
-        const ConnectionId id = pair.a.call([&pair] { return pair.a.transport.dial({"127.0.0.1", 29039}); });
-        pair.runFor(std::chrono::milliseconds(200));
-        cr_expect_eq(pair.a.closed[id], 1);
-        cr_expect_eq(pair.a.opened[id], 0);
-    }
+Test(peertransport, a_refused_dial_is_reported_once)
+{
+    Pair pair(29030);
+    const ConnectionId id = pair.a.call([&pair] { return pair.a.transport.dial({"127.0.0.1", 29039}); });
+    pair.runFor(std::chrono::milliseconds(200));
+    cr_expect_eq(pair.a.closed[id], 1);
+    cr_expect_eq(pair.a.opened[id], 0);
+}
 
-    //! The peer has connected and sends its handshake when this node has stopped to accept.
-    Test(peertransport, no_connection_opens_after_a_shutdown)
-    {
-        Pair pair(29040);
-        const ConnectionId existing = pair.open();
-        tcp::socket late(pair.context);
-        late.connect({asio::ip::make_address("127.0.0.1"), pair.b.address.port});
-        pair.runFor(std::chrono::milliseconds(100));
-        const std::size_t openedBefore = pair.b.opened.size();
-        pair.b.transport.shutdown();
-        const ConnectionId dialled = pair.b.call([&pair] { return pair.b.transport.dial(pair.a.address); });
-        const std::string handshake = "GET /peer HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                                      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
-        boost::system::error_code ignored;
-        asio::write(late, asio::buffer(handshake), ignored);
-        pair.runFor(std::chrono::milliseconds(800));
-        cr_expect_eq(pair.a.closed[existing], 1);
-        cr_expect_eq(pair.b.opened.size(), openedBefore, "%zu opened after the shutdown", pair.b.opened.size() - openedBefore);
-        cr_expect_eq(pair.b.closed[dialled], 1);
+//! The peer has connected and sends its handshake when this node has stopped to accept.
+Test(peertransport, no_connection_opens_after_a_shutdown)
+{
+    Pair pair(29040);
+    const ConnectionId existing = pair.open();
+    tcp::socket late(pair.context);
+    late.connect({asio::ip::make_address("127.0.0.1"), pair.b.address.port});
+    pair.runFor(std::chrono::milliseconds(100));
+    const std::size_t openedBefore = pair.b.opened.size();
+    pair.b.transport.shutdown();
+    const ConnectionId dialled = pair.b.call([&pair] { return pair.b.transport.dial(pair.a.address); });
+    const std::string handshake = "GET /peer HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                  "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
+    boost::system::error_code ignored;
+    asio::write(late, asio::buffer(handshake), ignored);
+    pair.runFor(std::chrono::milliseconds(800));
+    cr_expect_eq(pair.a.closed[existing], 1);
+    cr_expect_eq(pair.b.opened.size(), openedBefore, "%zu opened after the shutdown", pair.b.opened.size() - openedBefore);
+    cr_expect_eq(pair.b.closed[dialled], 1);
+}
