Tell ends of connections that a node causes from those that callers cause

Change: nothing received counts as idle, the counter has the reason as a label, callers that leave and ends without a request are logged at debug, ends that the node causes at warn under a code of their own (3014). The report is made after the connection is closed. A process that exits with open connections of callers says so.

a_reset_of_an_idle_connection_is_not_reported_as_a_request_without_response failed before: 'reason read_error (Connection reset by peer), while receiving'.

--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -92,6 +92,7 @@
          502},
         {ResultCode::NodeFailed, "NodeFailed", "An error within the node ended the work on the call.", 502},
         {ResultCode::NodeStopped, "NodeStopped", "The node that passed the call on was stopped before its answer arrived.", 502},
+        {ResultCode::ResponseUndelivered, "ResponseUndelivered", "The connection of the caller ended before its response was sent.", 502},
         {ResultCode::SettingsUnreadable, "SettingsUnreadable", "The settings file cannot be read.", 0},
         {ResultCode::SettingUnknown, "SettingUnknown", "The settings hold a key that is not known.", 0},
         {ResultCode::SettingMissing, "SettingMissing", "A required setting is missing.", 0},
--- a/src/chervilpaddle/base/resultcode.h
+++ b/src/chervilpaddle/base/resultcode.h
@@ -57,6 +57,7 @@
     AnswerUnverified = 3011,
     NodeFailed = 3012,
     NodeStopped = 3013,
+    ResponseUndelivered = 3014,
 
     SettingsUnreadable = 4001,
     SettingUnknown = 4002,
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -211,8 +211,9 @@
 
 void MeshCore::handleClosedConnection(const ClosedConnection &closed)
 {
-    ++m_counters.closedConnections[static_cast<std::size_t>(closed.reason)];
-    m_counters.unansweredRequests += leavesRequestUnanswered(closed) ? 1 : 0;
+    const auto reason = static_cast<std::size_t>(closed.reason);
+    ++m_counters.closedConnections[reason];
+    m_counters.unansweredRequests[reason] += leavesRequestUnanswered(closed) ? 1 : 0;
     logClosedConnection(m_log, closed);
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -30,9 +30,9 @@
     std::uint64_t callerDisconnects = 0;
     std::uint64_t overloaded = 0;
     std::uint64_t invalidInstanceEntries = 0;
-    //! Ended connections of callers by CloseReason, and how many of them left a request without a complete response.
+    //! Ended connections of callers by CloseReason, and those of them that left a request without a complete response.
     std::array<std::uint64_t, closeReasonCount> closedConnections{};
-    std::uint64_t unansweredRequests = 0;
+    std::array<std::uint64_t, closeReasonCount> unansweredRequests{};
     std::uint64_t failedHandlers = 0;
     //! Time from the arrival of a request to its response, by outcome.
     LatencyHistogram servedLatency;
@@ -51,7 +51,7 @@
     std::error_code start();
     //! Handles a request of a caller or of the backend server beside this node.
     void handle(const std::shared_ptr<HttpExchange> &exchange);
-    //! Counts a caller's connection that has ended, and logs it if a request is left unanswered or the node ended it unasked.
+    //! Counts and logs a caller's connection that has ended.
     void handleClosedConnection(const ClosedConnection &closed);
     //! Counts and logs an exception that has left a handler.
     void handleFailedHandler(const std::string &what);
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -195,7 +195,14 @@
         m_timer.expires_after(closingPollInterval);
         m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
             const bool areResponsesWritten = !m_callers.hasConnections() && steadyClock()() - m_closingSince >= peerFlushTime;
-            areResponsesWritten || m_core.isExitDue() ? m_context.stop() : pollClosing();
+            if (!areResponsesWritten && !m_core.isExitDue()) {
+                pollClosing();
+                return;
+            }
+            if (!areResponsesWritten) {
+                m_log.warn({"exit cuts open connections of callers", ResultCode::ResponseUndelivered, {}, "the grace period is over"});
+            }
+            m_context.stop();
         });
     }
 
--- a/src/chervilpaddle/node/logging.cpp
+++ b/src/chervilpaddle/node/logging.cpp
@@ -106,12 +106,15 @@
 
 void logClosedConnection(EventLog &log, const ClosedConnection &closed)
 {
-    const bool isOrdinary = closed.reason == CloseReason::ClientClosed || closed.reason == CloseReason::LastResponse;
-    if (leavesRequestUnanswered(closed)) {
-        const ResultCode code = closed.reason == CloseReason::ClientClosed ? ResultCode::CancelledWhileRunning : ResultCode::AnswerLost;
-        log.info({"caller's connection ended before the response", code, closed.openRequest, toText(closed)});
-    } else if (!isOrdinary) {
+    const bool isEndedByClient = closed.reason == CloseReason::ClientClosed;
+    if (leavesRequestUnanswered(closed) && isEndedByClient) {
+        log.debug({"caller left before the response", ResultCode::CancelledWhileRunning, closed.openRequest, toText(closed)});
+    } else if (leavesRequestUnanswered(closed)) {
+        log.warn({"caller's connection ended before the response", ResultCode::ResponseUndelivered, closed.openRequest, toText(closed)});
+    } else if (closed.reason == CloseReason::Malformed || closed.reason == CloseReason::OverLimit) {
         log.info({"caller's connection closed", ResultCode::Success, {}, toText(closed)});
+    } else {
+        log.debug({"caller's connection closed", ResultCode::Success, {}, toText(closed)});
     }
 }
 
--- a/src/chervilpaddle/node/logging.h
+++ b/src/chervilpaddle/node/logging.h
@@ -61,7 +61,8 @@
     InstanceId m_instance;
 };
 
-//! Logs the end of a caller's connection if it leaves a request unanswered or was not asked for by the client. Thread-safe.
+//! Logs the end of a caller's connection: as a warning if a request is left unanswered though its client has not closed the
+//! connection, otherwise mostly at level debug. Thread-safe.
 void logClosedConnection(EventLog &log, const ClosedConnection &closed);
 
 //! Logs an exception that has left a handler. Thread-safe.
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -32,14 +32,16 @@
         counter("chervilpaddle_requests_left_total", "Requests whose caller went away", counters.callerDisconnects);
         counter("chervilpaddle_unreadable_entries_total", "Entries of the platform that name no instance", counters.invalidInstanceEntries);
         for (std::size_t reason = 0; reason < closeReasonCount; ++reason) {
+            const prometheus::Labels labels = {{"reason", toText(static_cast<CloseReason>(reason))}};
             counter("chervilpaddle_caller_connections_closed_total",
                     "Connections of callers that ended",
                     counters.closedConnections[reason],
-                    {{"reason", toText(static_cast<CloseReason>(reason))}});
+                    labels);
+            counter("chervilpaddle_caller_requests_unanswered_total",
+                    "Requests whose connection ended before the whole answer was sent",
+                    counters.unansweredRequests[reason],
+                    labels);
         }
-        counter("chervilpaddle_caller_requests_unanswered_total",
-                "Requests whose connection ended before the whole answer was sent",
-                counters.unansweredRequests);
         counter("chervilpaddle_failed_handlers_total", "Exceptions that left a handler", counters.failedHandlers);
         gauge("chervilpaddle_ready", "1 while callers may be sent here", core.isReady() ? 1 : 0);
         gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -268,6 +269,9 @@
         } else if (error == beast::error::timeout) {
             close(CloseReason::ReceiveTimeout);
         } else if (error.category() == asio::error::get_system_category() || error.category() == asio::error::get_misc_category()) {
+            if (!m_parser->got_some()) {
+                enter(ConnectionPhase::Idle);
+            }
             close(CloseReason::ReadError, error);
         } else {
             reject(ResultCode::Malformed, CloseReason::Malformed);
@@ -408,20 +412,19 @@
 
     void close(CloseReason reason, std::error_code cause = {})
     {
-        report(reason, cause);
+        const ClosedConnection closed = describeEnd(reason, cause);
         enter(ConnectionPhase::Closing);
         beast::error_code ignored;
         m_idleTimer.cancel();
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
+        if (m_state->options.connectionClosed && !std::exchange(m_isReported, true)) {
+            m_state->options.connectionClosed(closed);
+        }
     }
 
-    void report(CloseReason reason, std::error_code cause)
+    ClosedConnection describeEnd(CloseReason reason, std::error_code cause) const
     {
-        if (m_isReported || !m_state->options.connectionClosed) {
-            return;
-        }
-        m_isReported = true;
         const auto now = std::chrono::steady_clock::now();
         ClosedConnection closed;
         closed.reason = reason;
@@ -431,7 +434,7 @@
         closed.requests = m_exchange;
         closed.phase = m_phase;
         closed.openRequest = m_openRequest;
-        m_state->options.connectionClosed(closed);
+        return closed;
     }
 
     beast::tcp_stream m_stream;
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -5,6 +5,7 @@
 #include <chervilpaddle/transport/eventloop.h>
 #include <chervilpaddle/transport/httpserver.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -163,14 +164,20 @@
 
 const std::string plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
-//! A server and a connection to it that has been used once and is idle, while the server's thread is blocked.
+//! A server and an idle connection to it, while the server's thread is blocked.
 struct BlockedServer
 {
-    explicit BlockedServer(std::chrono::milliseconds idleTimeout)
+    BlockedServer(std::chrono::milliseconds idleTimeout, bool isUsedBefore)
         : server(idleTimeout)
         , socket(server.connect(context))
     {
-        statusLineOf(socket, plainRequest);
+        if (isUsedBefore) {
+            statusLineOf(socket, plainRequest);
+        } else {
+            // The server accepts in order, so the first connection is open as soon as the second one gets a response.
+            tcp::socket second = server.connect(context);
+            statusLineOf(second, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        }
         server.block(released.get_future().share()).wait();
     }
 
@@ -181,12 +188,13 @@
 };
 
 //! Returns a server whose thread was blocked before the idle timeout of its connection.
-std::unique_ptr<BlockedServer> blockBeforeIdleTimeout(std::chrono::milliseconds idleTimeout)
+std::unique_ptr<BlockedServer> blockBeforeIdleTimeout(std::chrono::milliseconds idleTimeout, bool isUsedBefore)
 {
-    auto blocked = std::make_unique<BlockedServer>(idleTimeout);
-    while (!blocked->server.closed().empty()) {
+    const auto isTimedOut = [](const ClosedConnection &closed) { return closed.reason == CloseReason::IdleTimeout; };
+    auto blocked = std::make_unique<BlockedServer>(idleTimeout, isUsedBefore);
+    for (auto ends = blocked->server.closed(); std::any_of(ends.begin(), ends.end(), isTimedOut); ends = blocked->server.closed()) {
         blocked->released.set_value();
-        blocked = std::make_unique<BlockedServer>(idleTimeout);
+        blocked = std::make_unique<BlockedServer>(idleTimeout, isUsedBefore);
     }
     return blocked;
 }
@@ -266,12 +274,16 @@
     struct Case
     {
         const char *description;
+        bool isUsedBefore;
         bool isNoticedBeforeTimeout;
     };
-    const Case cases[] = {{"noticed before the timeout, read after it", true}, {"neither noticed nor read before the timeout", false}};
+    const Case cases[] = {{"noticed before the timeout, read after it", true, true},
+                          {"neither noticed nor read before the timeout", true, false},
+                          {"first request, noticed before the timeout", false, true},
+                          {"first request, noticed and timed out in one poll", false, false}};
     constexpr std::chrono::milliseconds idleTimeout(200);
     for (const Case &testCase : cases) {
-        const auto blocked = blockBeforeIdleTimeout(idleTimeout);
+        const auto blocked = blockBeforeIdleTimeout(idleTimeout, testCase.isUsedBefore);
         send(blocked->socket, plainRequest);
         std::promise<void> timeoutOver;
         if (testCase.isNoticedBeforeTimeout) {
@@ -290,6 +302,18 @@
     }
 }
 
+Test(httpserver, a_reset_of_an_idle_connection_is_not_reported_as_a_request_without_response)
+{
+    CountingServer server;
+    asio::io_context context;
+    tcp::socket socket = server.connect(context);
+    statusLineOf(socket, plainRequest);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    const auto closed = server.waitForClosed(1);
+    cr_expect(!leavesRequestUnanswered(closed[0]), "%s", toText(closed[0]).c_str());
+}
+
 Test(httpserver, clients_are_told_to_stop_using_a_connection_before_the_idle_timeout_closes_it)
 {
     struct Case
