--- a/tests/process/lib/mesh.sh
+++ b/tests/process/lib/mesh.sh
@@ -54,3 +54,14 @@
     cat "$work/environment.out" "$work/environment.log"
     check "no guarantee was violated" [ $status -eq 0 ]
 }
+
+# stop_when_asked NAME: stops a node as soon as the environment asks for it, waits for its exit, and sets stop_milliseconds.
+stop_when_asked() {
+    until_true 10 grep -q "stop now" "$work/environment.out" || fail "the environment did not ask for the stop"
+    local begin=$EPOCHREALTIME
+    stop_process "node-$1"
+    wait "${pid_of[node-$1]}"
+    check "the stopped node exited with status 0" [ $? -eq 0 ]
+    stop_milliseconds=$(((${EPOCHREALTIME//[!0-9]/} - ${begin//[!0-9]/}) / 1000))
+    echo "the stop took $stop_milliseconds ms"
+}
--- a/tests/process/stuck_stop.sh
+++ b/tests/process/stuck_stop.sh
@@ -3,15 +3,9 @@
 # get an answer, not a closed connection.
 source "$(dirname "$0")/lib/mesh.sh"
 start_mesh --seconds 9 --seed 9 --spare outer-1 --stopped outer-1 --stop-calls stuck
-until_true 10 grep -q "stop now" "$work/environment.out" || fail "the environment did not ask for the stop"
-begin=$EPOCHREALTIME
-stop_process node-outer-1
-wait "${pid_of[node-outer-1]}"
-check "the stopped node exited with status 0" [ $? -eq 0 ]
-milliseconds=$(((${EPOCHREALTIME//[!0-9]/} - ${begin//[!0-9]/}) / 1000))
-echo "the stop took $milliseconds ms"
-check "the node waited for the requests" [ $milliseconds -ge 5000 ]
-check "the node exited before the grace period ended" [ $milliseconds -lt 6000 ]
+stop_when_asked outer-1
+check "the node waited for the requests" [ $stop_milliseconds -ge 5000 ]
+check "the node exited before the grace period ended" [ $stop_milliseconds -lt 6000 ]
 check "the requests that were given up were logged" grep -q '"code":3013' "$work/node-outer-1.log"
 finish_mesh
 finish
