--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -52,7 +52,8 @@
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
         //! Connections without a request for this long are closed. Clients are told a shorter time, see announcedIdleTime().
         std::chrono::milliseconds idleTimeout = std::chrono::seconds(75);
-        //! Called once for each connection that has ended, on the connection's thread.
+        //! Called once for each connection that has ended, on the connection's thread; not for those that are still open when
+        //! their context stops.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
     };
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
