--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -47,7 +47,7 @@
 //! State shared by all connections of a server.
 struct ServerState
 {
-    //! Connections that are open or about to be.
+    //! Guards `sessions`, which holds the connections that have been started.
     std::mutex sessionsMutex;
     std::map<Session *, std::weak_ptr<Session>> sessions;
     HttpServer::Options options;
