--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -288,3 +288,26 @@
         cr_assert_no_throw(decodeChanges(changed(changes)), std::exception);
     }
 }
+
+Test(platform, numbers_that_fit_no_type_make_an_entry_invalid)
+{
+    const std::string valid = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":108,)"
+                              R"("state":"ready","cold_remaining_s":0,"sequence":4,"born":1700000000000})";
+    const std::string numbers[] = {
+        "1e300", "9223372036854775808", "18446744073709551615", "18446744073709551616", "-1", "1.5", "true", "null", "\"NaN\"", "[1]"};
+    for (const std::string &number : numbers) {
+        std::string reason;
+        cr_expect_not(
+            decodeInstance({"servers/i-1", replaced(valid, "108", number), Revision(3)}, reason).has_value(), "slots %s", number.c_str());
+        cr_expect_not(decodeInstance({"servers/i-1", replaced(valid, "1700000000000", number), Revision(3)}, reason).has_value(),
+                      "born %s",
+                      number.c_str());
+        const StoreItem odd{"servers/i-1", replaced(valid, "\"sequence\":4", "\"sequence\":" + number), Revision(4)};
+        cr_expect_not(isHeartbeat({"servers/i-1", valid, Revision(3)}, odd), "sequence %s", number.c_str());
+        cr_expect_not(isHeartbeat(odd, {"servers/i-1", valid, Revision(5)}), "sequence %s", number.c_str());
+    }
+    std::string reason;
+    const auto whole = decodeInstance({"servers/i-1", replaced(valid, "108", "108.0"), Revision(3)}, reason);
+    cr_assert(whole.has_value(), "%s", reason.c_str());
+    cr_expect_eq(whole->instance.slots, 108);
+}
