--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -311,3 +311,26 @@
     cr_assert(whole.has_value(), "%s", reason.c_str());
     cr_expect_eq(whole->instance.slots, 108);
 }
+
+Test(platform, numbers_that_fit_no_type_make_a_configuration_invalid)
+{
+    const std::string valid = validConfiguration;
+    const std::string fields[] = {
+        "\"version\":7", "\"priority\":2", "\"attempts\":2", "\"timeout_s\":1.2", "\"target_latency_s\":1.5", "\"weight\":90"};
+    for (const std::string &field : fields) {
+        const std::string name = field.substr(0, field.find(':') + 1);
+        for (const char *number : {"1e300", "-1", "18446744073709551616", "true", "null", "\"NaN\"", "{}"}) {
+            std::string reason;
+            cr_expect_not(decodeRoutes({"op/config", replaced(valid, field, name + number), Revision(5)}, reason).has_value(),
+                          "%s%s",
+                          name.c_str(),
+                          number);
+            cr_expect_not(reason.empty());
+        }
+    }
+    for (const std::string &field : {std::string("\"version\":7"), std::string("\"priority\":2"), std::string("\"attempts\":2")}) {
+        std::string reason;
+        const std::string fraction = field.substr(0, field.find(':') + 1) + "2.5";
+        cr_expect_not(decodeRoutes({"op/config", replaced(valid, field, fraction), Revision(5)}, reason).has_value(), "%s", field.c_str());
+    }
+}
