Pause before the store is read again after a compaction

A node whose watch gets 410 read all items at once, and watched again. Every reader was concerned, and every node that had taken over from one.

A read after a 410 now follows a random pause of 0.1 to 0.2 s, which doubles up to 0.8 to 1.6 s until a watch is successful. A mirror that a peer has brought further in the meantime watches instead of reading. A single 410 costs at most 0.2 s, and with a store that never keeps any history a change still arrives within two seconds (tested).

Three tests of the mirror read the items right after the 410; they now run the pause, and one of them checks that there is one.

This bounds the calls; that what is read after a restoration is dropped is another fault, and still there.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -11,6 +11,8 @@
 //! retry simultaneously.
 constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
 constexpr int maxBackoffDoublings = 2;
+//! The pause before the items are read again doubles up to 0.8 to 1.6 s, within the time in which a change must be known.
+constexpr int maxRereadDoublings = 3;
 //! How long the store holds a watch without changes. This bounds the time until a silent connection is detected. The duration is
 //! random, so that if all connections become silent at once some node detects it early and informs its peers.
 constexpr Duration minWatchDuration = std::chrono::seconds(2);
@@ -213,6 +215,7 @@
         m_isBusy = false;
         return;
     }
+    m_watchedFrom = m_syncedRevision;
     m_hooks.reader.watch(m_prefix, m_syncedRevision, watchDuration(), [this](const StoreChanges &changes) { handleChanges(changes); });
 }
 
@@ -228,7 +231,7 @@
 {
     if (changes.status == StoreStatus::Compacted) {
         markAvailable();
-        start();
+        readAgain();
         return;
     }
     if (changes.status == StoreStatus::Failed) {
@@ -236,6 +239,7 @@
         return;
     }
     markAvailable();
+    m_unusableResponses = 0;
     const bool isChanged = applyEvents(changes.events);
     m_syncedRevision = std::max(m_syncedRevision, changes.storeRevision);
     if (changes.events.empty()) {
@@ -286,6 +290,26 @@
     return true;
 }
 
+//! Reads all items, unless a peer brings a later state than the one from which the store does not have the changes.
+void PrefixMirror::readAgain()
+{
+    pauseBefore([this] {
+        if (!m_isReading || m_watchedFrom < m_syncedRevision) {
+            watch();
+        } else {
+            start();
+        }
+    });
+}
+
+//! The pause grows until a watch is successful, so that no node calls the store in a loop.
+void PrefixMirror::pauseBefore(std::function<void()> action)
+{
+    const Duration delay = initialRetryDelay * (1 << std::min(m_unusableResponses, maxRereadDoublings));
+    ++m_unusableResponses;
+    m_hooks.schedule(randomDuration(m_random, delay, 2 * delay), std::move(action));
+}
+
 void PrefixMirror::handleFailure(std::function<void()> retry)
 {
     if (m_answeringSince || m_failures == 0) {
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -74,6 +74,8 @@
     Duration watchDuration();
     void handleChanges(const StoreChanges &changes);
     void handleFailure(std::function<void()> retry);
+    void readAgain();
+    void pauseBefore(std::function<void()> action);
     void markAvailable();
     void updateLastChange(Revision revision);
     bool isHeartbeat(const StoreItem &previous, const StoreItem &next) const;
@@ -95,6 +97,8 @@
     //! m_items contains all changes up to this revision.
     Revision m_syncedRevision;
     Revision m_lastChange;
+    //! Where the latest watch began.
+    Revision m_watchedFrom;
     //! The latest changes, oldest first: all those after m_recentSince.
     std::deque<StoreEvent> m_recentEvents;
     Revision m_recentSince;
@@ -103,6 +107,8 @@
     //! Whether a request to the store or its retry is pending.
     bool m_isBusy = false;
     int m_failures = 0;
+    //! Responses that could not be used, since the last watch that was successful.
+    int m_unusableResponses = 0;
     std::optional<TimePoint> m_answeringSince;
 };
 
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -71,11 +71,7 @@
         const Watch watch = std::move(watches.front());
         watches.pop_front();
         watch.reply({StoreStatus::Success, events, Revision(revision)});
-        while (!scheduled.empty()) {
-            const auto action = std::move(scheduled.front());
-            scheduled.pop_front();
-            action();
-        }
+        runScheduled();
     }
 
     void failWatch(StoreStatus status)
@@ -84,6 +80,15 @@
         watches.pop_front();
         watch.reply({status, {}, Revision()});
     }
+
+    void runScheduled()
+    {
+        while (!scheduled.empty()) {
+            const auto action = std::move(scheduled.front());
+            scheduled.pop_front();
+            action();
+        }
+    }
 };
 
 StoreItem item(const std::string &key, const std::string &value, std::uint64_t revision)
@@ -116,6 +121,8 @@
     store.mirror.start();
     store.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
     store.failWatch(StoreStatus::Compacted);
+    cr_assert(store.ranges.empty(), "the items are not read again without a pause");
+    store.runScheduled();
     store.page({item("p/b", "2", 40)}, 50);
     cr_assert_eq(store.mirror.items().size(), 1);
     cr_assert_eq(store.watches.front().after.value(), 50);
@@ -217,6 +224,7 @@
     behind.mirror.start();
     behind.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
     ahead.failWatch(StoreStatus::Compacted);
+    ahead.runScheduled();
     ahead.page({item("p/b", "2", 40)}, 50);
     cr_assert(behind.mirror.isBehind(ahead.mirror.lastChange()));
     cr_assert(behind.mirror.apply(ahead.mirror.changesSince(Revision(10))) == MirrorUpdate::Applied);
@@ -267,6 +275,7 @@
     store.page({item("p/a", "ready-1", 3)}, 10);
     const int changesBefore = store.changes;
     store.failWatch(StoreStatus::Compacted);
+    store.runScheduled();
     store.page({item("p/a", "ready-9", 40)}, 50);
     cr_assert_eq(store.changes, changesBefore);
     cr_assert_eq(store.mirror.lastChange().value(), 3);
@@ -289,3 +298,41 @@
     store.scheduled.front()();
     cr_assert_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
 }
+
+Test(prefixmirror, history_that_is_discarded_again_and_again_does_not_cause_reads_without_a_pause)
+{
+    using namespace std::chrono_literals;
+    FakeStore store;
+    store.mirror.start();
+    Duration paused{};
+    constexpr int rounds = 12;
+    for (std::uint64_t round = 1; round <= rounds; ++round) {
+        store.page({item("p/a", std::to_string(round), round)}, round);
+        store.failWatch(StoreStatus::Compacted);
+        cr_assert_eq(store.scheduled.size(), 1);
+        cr_assert_geq(store.lastDelay, 100ms);
+        cr_assert_lt(store.lastDelay, 1600ms, "a change must be known within two seconds");
+        paused += store.lastDelay;
+        store.runScheduled();
+    }
+    cr_expect_geq(paused, 8s);
+    store.page({}, 20);
+    store.events({}, 20);
+    store.failWatch(StoreStatus::Compacted);
+    cr_expect_lt(store.lastDelay, 200ms, "a watch that succeeds ends the series");
+}
+
+Test(prefixmirror, items_that_a_peer_has_brought_since_a_compaction_are_not_read_again)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "2", 40)}, 60);
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3)}, 10);
+    store.failWatch(StoreStatus::Compacted);
+    cr_assert(store.mirror.apply(ahead.mirror.snapshot()) == MirrorUpdate::Applied);
+    store.runScheduled();
+    cr_assert(store.ranges.empty());
+    cr_assert_eq(store.watches.front().after.value(), 60);
+}
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -107,6 +107,8 @@
     std::set<InstanceId> stopped;
     //! Nodes whose requests to the store fail.
     std::set<InstanceId> withoutStore;
+    //! The store does not keep any changes.
+    bool discardsHistory = false;
     int storeCalls = 0;
     int documents = 0;
     std::size_t documentBytes = 0;
@@ -200,7 +202,7 @@
         reader.watch = [this, id](const std::string &prefix, Revision after, Duration timeout, auto reply) {
             ++storeCalls;
             Watch watch{id, prefix, after, reply, ++m_lastWatch};
-            if (withoutStore.count(id) != 0 || !changesUnder(prefix, after).empty()) {
+            if (withoutStore.count(id) != 0 || discardsHistory || !changesUnder(prefix, after).empty()) {
                 answerWatch(watch);
                 return;
             }
@@ -226,7 +228,8 @@
     {
         StoreChanges changes;
         if (withoutStore.count(watch.node) == 0) {
-            changes = {StoreStatus::Success, changesUnder(watch.prefix, watch.after), Revision(m_revision)};
+            const StoreStatus status = discardsHistory ? StoreStatus::Compacted : StoreStatus::Success;
+            changes = {status, changesUnder(watch.prefix, watch.after), Revision(m_revision)};
         }
         time.after(storeDelay, [this, watch, changes] {
             if (stopped.count(watch.node) == 0) {
@@ -402,3 +405,18 @@
     }
     cr_assert_eq(substitutes, 0, "%d nodes read the store themselves", substitutes);
 }
+
+Test(storereplication, history_that_is_never_kept_does_not_make_nodes_loop_on_the_store)
+{
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    ReplicatedFleet fleet(60);
+    fleet.discardsHistory = true;
+    fleet.time.runFor(10s);
+    fleet.storeCalls = 0;
+    fleet.time.runFor(10s);
+    // A read and a watch of each prefix every 0.8 s at most.
+    cr_expect_leq(fleet.storeCalls, readers * 2 * 2 * 13, "%d calls to the store", fleet.storeCalls);
+    fleet.write("i/a", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 60, "a change is known within two seconds all the same");
+}
