--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -58,6 +58,8 @@
 //! A document that peers exchange: all items, or the changes after a revision.
 struct MirrorDocument
 {
+    //! Zero if the peer does not distinguish eras, so that its items never replace those of a known era.
+    StoreEra era;
     std::optional<Revision> since;
     Revision synced;
     Revision lastChange;
@@ -71,6 +73,9 @@
     const auto parsed = nlohmann::json::parse(text, nullptr, false);
     MirrorDocument document;
     try {
+        if (const auto era = parsed.find("era"); era != parsed.end()) {
+            document.era = StoreEra(era->get<std::uint64_t>());
+        }
         if (const auto since = parsed.find("since"); since != parsed.end()) {
             document.since = Revision(since->get<std::uint64_t>());
         }
@@ -98,7 +103,7 @@
 {
     m_isBusy = true;
     m_snapshotItems.clear();
-    m_snapshotRevision.reset();
+    m_snapshotPosition.reset();
     readPage({});
 }
 
@@ -129,9 +134,19 @@
         handleFailure([this] { start(); });
         return;
     }
+    const StoreEra heldEra = m_snapshotPosition ? m_snapshotPosition->era : m_synced.era;
+    const StorePosition position{page.era.value_or(heldEra), page.storeRevision};
+    if (position.era < m_synced.era) {
+        pauseBefore([this] { watch(); });
+        return;
+    }
     markAvailable();
     // The pages are read at different revisions. Watching from the revision of the first page ensures that no change is missed.
-    m_snapshotRevision = m_snapshotRevision.value_or(page.storeRevision);
+    m_snapshotPosition = m_snapshotPosition.value_or(position);
+    if (position.era != m_snapshotPosition->era) {
+        pauseBefore([this] { start(); });
+        return;
+    }
     for (const StoreItem &item : page.items) {
         m_snapshotItems[item.key] = item;
     }
@@ -144,28 +159,35 @@
 
 void PrefixMirror::finishSnapshot()
 {
-    const Revision snapshotRevision = *m_snapshotRevision;
+    const StorePosition position = *m_snapshotPosition;
     // A document of a peer that was applied in the meantime may be newer than the pages.
-    if (!(snapshotRevision < m_syncedRevision)) {
-        replaceItems(std::move(m_snapshotItems), snapshotRevision);
+    if (!(position < m_synced)) {
+        replaceItems(std::move(m_snapshotItems), position);
     }
     m_snapshotItems.clear();
     watch();
 }
 
 //! Replaces all items. The changes that this amounts to are kept for peers that hold the previous items.
-void PrefixMirror::replaceItems(std::map<std::string, StoreItem> items, Revision synced)
+void PrefixMirror::replaceItems(std::map<std::string, StoreItem> items, const StorePosition &synced)
 {
-    std::vector<StoreEvent> events = differencesTo(items, synced);
+    for (auto &[key, item] : items) {
+        item.era = synced.era;
+    }
     const bool isFirst = !m_hasContent;
+    if (!isFirst && m_synced.era != synced.era) {
+        enterEra(std::move(items), synced);
+        return;
+    }
+    std::vector<StoreEvent> events = differencesTo(items, synced.revision);
     m_items = std::move(items);
-    m_syncedRevision = synced;
+    m_synced = synced;
     m_hasContent = true;
     for (const StoreEvent &event : events) {
         updateLastChange(event.item.revision);
     }
     if (isFirst) {
-        m_recentSince = synced;
+        m_recentSince = synced.revision;
     } else {
         remember(events);
     }
@@ -174,6 +196,31 @@
     }
 }
 
+//! Replaces all items by those of a newer era. What changed between the eras has no revision, so that peers get all items.
+void PrefixMirror::enterEra(std::map<std::string, StoreItem> items, const StorePosition &synced)
+{
+    StoreEraChange change{m_synced, synced};
+    for (const auto &[key, item] : items) {
+        const auto known = m_items.find(key);
+        // The copy holds an earlier heartbeat of an entry that is otherwise the same.
+        const bool isKept = known != m_items.end()
+            && (known->second.value == item.value || isHeartbeat(known->second, item) || isHeartbeat(item, known->second));
+        ++(isKept ? change.kept : change.changed);
+    }
+    change.removed = static_cast<std::size_t>(
+        std::count_if(m_items.begin(), m_items.end(), [&items](const auto &entry) { return items.count(entry.first) == 0; }));
+    m_items = std::move(items);
+    m_synced = synced;
+    m_lastChange = synced.revision;
+    m_recentEvents.clear();
+    m_recentSince = synced.revision;
+    m_restoredAt = m_hooks.clock();
+    if (m_hooks.eraChanged) {
+        m_hooks.eraChanged(change);
+    }
+    m_hooks.changed();
+}
+
 bool PrefixMirror::isHeartbeat(const StoreItem &previous, const StoreItem &next) const
 {
     return m_hooks.isHeartbeat && m_hooks.isHeartbeat(previous, next);
@@ -215,8 +262,8 @@
         m_isBusy = false;
         return;
     }
-    m_watchedFrom = m_syncedRevision;
-    m_hooks.reader.watch(m_prefix, m_syncedRevision, watchDuration(), [this](const StoreChanges &changes) { handleChanges(changes); });
+    m_watchedFrom = m_synced;
+    m_hooks.reader.watch(m_prefix, m_synced.revision, watchDuration(), [this](const StoreChanges &changes) { handleChanges(changes); });
 }
 
 Duration PrefixMirror::watchDuration()
@@ -238,10 +285,20 @@
         handleFailure([this] { watch(); });
         return;
     }
+    const StoreEra era = changes.era.value_or(m_watchedFrom.era);
+    if (era < m_synced.era) {
+        pauseBefore([this] { watch(); });
+        return;
+    }
     markAvailable();
+    if (era != m_watchedFrom.era) {
+        // The revision from which the changes continue is one of another era.
+        readAgain();
+        return;
+    }
     m_unusableResponses = 0;
     const bool isChanged = applyEvents(changes.events);
-    m_syncedRevision = std::max(m_syncedRevision, changes.storeRevision);
+    m_synced.revision = std::max(m_synced.revision, changes.storeRevision);
     if (changes.events.empty()) {
         watch();
         return;
@@ -271,7 +328,7 @@
 //! Returns false if the items already contain the change, or if it is a heartbeat.
 bool PrefixMirror::applyEvent(const StoreEvent &event)
 {
-    if (!(m_syncedRevision < event.item.revision)) {
+    if (!(m_synced.revision < event.item.revision)) {
         return false;
     }
     const auto known = m_items.find(event.item.key);
@@ -286,6 +343,7 @@
         m_items.erase(event.item.key);
     } else if (auto &existing = m_items[event.item.key]; !(event.item.revision < existing.revision)) {
         existing = event.item;
+        existing.era = m_synced.era;
     }
     return true;
 }
@@ -294,7 +352,7 @@
 void PrefixMirror::readAgain()
 {
     pauseBefore([this] {
-        if (!m_isReading || m_watchedFrom < m_syncedRevision) {
+        if (!m_isReading || m_watchedFrom < m_synced) {
             watch();
         } else {
             start();
@@ -349,24 +407,24 @@
     return m_items;
 }
 
-Revision PrefixMirror::lastChange() const
+StorePosition PrefixMirror::lastChange() const
 {
-    return m_lastChange;
+    return {m_synced.era, m_lastChange};
 }
 
-Revision PrefixMirror::syncedRevision() const
+StorePosition PrefixMirror::synced() const
 {
-    return m_syncedRevision;
+    return m_synced;
 }
 
 std::optional<TimePoint> PrefixMirror::availableSince() const
 {
-    return m_answeringSince;
+    return m_answeringSince && m_restoredAt ? std::max(*m_answeringSince, *m_restoredAt) : m_answeringSince;
 }
 
-bool PrefixMirror::isBehind(Revision peerLastChange) const
+bool PrefixMirror::isBehind(const StorePosition &peerLastChange) const
 {
-    return m_syncedRevision < peerLastChange;
+    return m_synced < peerLastChange;
 }
 
 std::string PrefixMirror::snapshot() const
@@ -375,22 +433,26 @@
     for (const auto &[key, item] : m_items) {
         items.push_back(encodeEvent({item, false}));
     }
-    return toText({{"synced", m_syncedRevision.value()}, {"lastChange", m_lastChange.value()}, {"items", std::move(items)}});
+    return toText({{"era", m_synced.era.value()},
+                   {"synced", m_synced.revision.value()},
+                   {"lastChange", m_lastChange.value()},
+                   {"items", std::move(items)}});
 }
 
-std::string PrefixMirror::changesSince(Revision held) const
+std::string PrefixMirror::changesSince(const StorePosition &held) const
 {
-    if (held < m_recentSince) {
+    if (held.era != m_synced.era || held.revision < m_recentSince) {
         return snapshot();
     }
     nlohmann::json events = nlohmann::json::array();
     for (const StoreEvent &event : m_recentEvents) {
-        if (held < event.item.revision) {
+        if (held.revision < event.item.revision) {
             events.push_back(encodeEvent(event));
         }
     }
-    return toText({{"since", held.value()},
-                   {"synced", m_syncedRevision.value()},
+    return toText({{"era", m_synced.era.value()},
+                   {"since", held.revision.value()},
+                   {"synced", m_synced.revision.value()},
                    {"lastChange", m_lastChange.value()},
                    {"items", std::move(events)}});
 }
@@ -401,7 +463,7 @@
     if (!parsed) {
         return MirrorUpdate::Malformed;
     }
-    if (m_hasContent && !isBehind(parsed->lastChange)) {
+    if (m_hasContent && !isBehind({parsed->era, parsed->lastChange})) {
         return MirrorUpdate::NotNewer;
     }
     return parsed->since ? applyChanges(*parsed) : applySnapshot(*parsed);
@@ -409,18 +471,19 @@
 
 MirrorUpdate PrefixMirror::applyChanges(const MirrorDocument &document)
 {
-    if (!m_hasContent || m_syncedRevision < *document.since) {
+    if (!m_hasContent || document.era != m_synced.era || m_synced.revision < *document.since) {
         return MirrorUpdate::Gap;
     }
     applyEvents(document.events);
-    m_syncedRevision = std::max(m_syncedRevision, document.synced);
+    m_synced.revision = std::max(m_synced.revision, document.synced);
     m_hooks.changed();
     return MirrorUpdate::Applied;
 }
 
 MirrorUpdate PrefixMirror::applySnapshot(MirrorDocument &document)
 {
-    if (document.synced < m_syncedRevision) {
+    const StorePosition synced{document.era, document.synced};
+    if (synced < m_synced) {
         return MirrorUpdate::NotNewer;
     }
     std::map<std::string, StoreItem> items;
@@ -428,7 +491,7 @@
         items[event.item.key] = std::move(event.item);
     }
     updateLastChange(document.lastChange);
-    replaceItems(std::move(items), document.synced);
+    replaceItems(std::move(items), synced);
     return MirrorUpdate::Applied;
 }
 
--- a/src/chervilpaddle/controllers/storemessages.h
+++ b/src/chervilpaddle/controllers/storemessages.h
@@ -2,8 +2,10 @@
 
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
+#include <chervilpaddle/controllers/storeposition.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +17,13 @@
     std::string key;
     std::string value;
     Revision revision;
+    //! The era of the revision. Not part of an item in the store's responses, where it applies to the whole response.
+    StoreEra era = {};
+
+    StorePosition position() const
+    {
+        return {era, revision};
+    }
 };
 
 //! The change of a key: written or removed.
@@ -38,6 +47,8 @@
     std::vector<StoreItem> items;
     bool hasMore = false;
     Revision storeRevision;
+    //! Not set if the store does not report it.
+    std::optional<StoreEra> era = std::nullopt;
 };
 
 //! Changes to the items under a prefix.
@@ -46,6 +57,8 @@
     StoreStatus status = StoreStatus::Failed;
     std::vector<StoreEvent> events;
     Revision storeRevision;
+    //! Not set if the store does not report it.
+    std::optional<StoreEra> era = std::nullopt;
 };
 
 //! Interface to a store that supports range reads and watches. Each callback is called exactly once.
--- a/src/chervilpaddle/controllers/storeposition.h
+++ b/src/chervilpaddle/controllers/storeposition.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include <chervilpaddle/base/ids.h>
+#include <chervilpaddle/base/storeera.h>
 
+#include <string>
 #include <tuple>
 
 namespace chervilpaddle {
 
-//! Number of times that the store was restored from a copy. Zero if the store or the peer that reports it does not count them.
-using StoreEra = StrongNumber<struct StoreEraTag>;
-
 //! A state in the history of the store. A store that is restored from a copy gives out its revisions again, in a new era, so that
 //! revisions of different eras say nothing about which of them is newer.
 struct StorePosition
@@ -30,4 +29,10 @@
     }
 };
 
+//! For log lines.
+inline std::string toText(const StorePosition &position)
+{
+    return "revision " + std::to_string(position.revision.value()) + " of era " + std::to_string(position.era.value());
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -26,10 +26,10 @@
     instancesHooks.changed = m_hooks.instancesChanged;
     instancesHooks.isHeartbeat = m_hooks.isHeartbeat;
     m_configuration.message = [](std::string document) { return ConfigurationMessage{std::move(document), {}}; };
-    m_configuration.request = [](Revision held) { return ConfigurationRequest{held, {}}; };
+    m_configuration.request = [](const StorePosition &held) { return ConfigurationRequest{held.revision, {}, held.era}; };
     makeReplica(m_configuration, options.configurationPrefix, "configuration", configurationHooks);
     m_instances.message = [](std::string document) { return InstancesMessage{std::move(document)}; };
-    m_instances.request = [](Revision held) { return InstancesRequest{held}; };
+    m_instances.request = [](const StorePosition &held) { return InstancesRequest{held.revision, held.era}; };
     makeReplica(m_instances, options.instancesPrefix, "instances", instancesHooks);
 }
 
@@ -42,6 +42,9 @@
         changed();
         schedulePassingOn(replica);
     };
+    if (m_hooks.eraChanged) {
+        hooks.eraChanged = [this, what](const StoreEraChange &change) { m_hooks.eraChanged(what, change); };
+    }
     hooks.availabilityChanged = [this, what](bool isAvailable) { m_hooks.availabilityChanged(what, isAvailable); };
     replica.mirror = std::make_unique<PrefixMirror>(prefix, std::move(hooks), m_random());
 }
@@ -100,7 +103,7 @@
     replica.isPassingOnScheduled = false;
     const PrefixMirror &mirror = *replica.mirror;
     // At the start every node reads the items itself.
-    const Revision reached = replica.passedOn ? std::min(mirror.lastChange(), mirror.syncedRevision()) : mirror.syncedRevision();
+    const StorePosition reached = replica.passedOn ? std::min(mirror.lastChange(), mirror.synced()) : mirror.synced();
     const auto since = std::exchange(replica.passedOn, reached);
     if (!since || m_role.receivers().empty() || !(*since < mirror.lastChange())) {
         return;
@@ -118,9 +121,9 @@
     if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
         handleStatus(event, *status);
     } else if (const auto *wantsConfiguration = std::get_if<ConfigurationRequest>(&event.message); wantsConfiguration != nullptr) {
-        serve(m_configuration, event.connection, wantsConfiguration->heldRevision);
+        serve(m_configuration, event.connection, {wantsConfiguration->heldEra.value_or(StoreEra()), wantsConfiguration->heldRevision});
     } else if (const auto *wantsInstances = std::get_if<InstancesRequest>(&event.message); wantsInstances != nullptr) {
-        serve(m_instances, event.connection, wantsInstances->heldRevision);
+        serve(m_instances, event.connection, {wantsInstances->heldEra.value_or(StoreEra()), wantsInstances->heldRevision});
     } else if (const auto *configuration = std::get_if<ConfigurationMessage>(&event.message); configuration != nullptr) {
         handleDocument(m_configuration, event, configuration->manifest);
     } else if (const auto *instances = std::get_if<InstancesMessage>(&event.message); instances != nullptr) {
@@ -130,9 +133,11 @@
 
 void StoreReplication::handleStatus(const PeerEvent &event, const StatusMessage &status)
 {
-    m_role.recordReport(event.instance, status.storeAvailableFor, m_hooks.clock());
-    requestIfBehind(m_configuration, event.connection, status.configurationRevision);
-    requestIfBehind(m_instances, event.connection, status.instancesRevision);
+    // A reader that does not distinguish eras passes on nothing that is written after a restoration.
+    const bool isReliable = status.instancesEra || m_instances.mirror->synced().era == StoreEra();
+    m_role.recordReport(event.instance, isReliable ? status.storeAvailableFor : std::nullopt, m_hooks.clock());
+    requestIfBehind(m_configuration, event.connection, {status.configurationEra.value_or(StoreEra()), status.configurationRevision});
+    requestIfBehind(m_instances, event.connection, {status.instancesEra.value_or(StoreEra()), status.instancesRevision});
 }
 
 void StoreReplication::handleDocument(Replica &replica, const PeerEvent &event, const std::string &document)
@@ -153,7 +158,7 @@
     }
 }
 
-void StoreReplication::requestIfBehind(Replica &replica, ConnectionId connection, Revision peerLastChange)
+void StoreReplication::requestIfBehind(Replica &replica, ConnectionId connection, const StorePosition &peerLastChange)
 {
     const bool isRequestPending = replica.requestedAt && m_hooks.clock() - *replica.requestedAt < requestTimeout;
     if (!isRequestPending && replica.mirror->isBehind(peerLastChange)) {
@@ -165,10 +170,10 @@
 {
     ++m_counters.requestsSent;
     replica.requestedAt = m_hooks.clock();
-    m_hooks.reply(connection, replica.request(replica.mirror->syncedRevision()));
+    m_hooks.reply(connection, replica.request(replica.mirror->synced()));
 }
 
-void StoreReplication::serve(const Replica &replica, ConnectionId connection, Revision held)
+void StoreReplication::serve(const Replica &replica, ConnectionId connection, const StorePosition &held)
 {
     if (!replica.mirror->hasContent()) {
         return;
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -24,7 +24,7 @@
 
 //! Keeps the configuration and the instance entries of the platform's store up to date at every node. The readers of each data
 //! centre watch the store and send each change once to the nodes of their data centre and to the readers of the others. A node that
-//! has missed a change asks one peer at a time for the changes since the revision that it holds. See docs/design/control-traffic.md.
+//! has missed a change asks one peer at a time for the changes since the position that it holds. See docs/design/control-traffic.md.
 //! Does no I/O. Not thread-safe.
 class StoreReplication
 {
@@ -43,6 +43,8 @@
         std::function<void()> instancesChanged;
         //! Whether an instance entry that was written again says nothing new. If not set, each write is a change.
         std::function<bool(const StoreItem &previous, const StoreItem &next)> isHeartbeat = nullptr;
+        //! Called when items of a newer era are held, before the hook for their change. `what` names the items. May be empty.
+        std::function<void(const char *what, const StoreEraChange &)> eraChanged = nullptr;
         //! Called when this node's own access to the store is gained or lost. `what` names the items.
         std::function<void(const char *what, bool isAvailable)> availabilityChanged;
         //! A document of a peer cannot be read.
@@ -80,9 +82,9 @@
     {
         std::unique_ptr<PrefixMirror> mirror;
         std::function<PeerMessage(std::string document)> message;
-        std::function<PeerMessage(Revision held)> request;
-        //! Receivers were sent all changes up to this revision.
-        std::optional<Revision> passedOn;
+        std::function<PeerMessage(const StorePosition &held)> request;
+        //! Receivers were sent all changes up to this position.
+        std::optional<StorePosition> passedOn;
         bool isPassingOnScheduled = false;
         //! When changes were last requested from a peer; not set if no request is pending.
         std::optional<TimePoint> requestedAt;
@@ -94,9 +96,9 @@
     void passOn(Replica &replica);
     void handleStatus(const PeerEvent &event, const StatusMessage &status);
     void handleDocument(Replica &replica, const PeerEvent &event, const std::string &document);
-    void requestIfBehind(Replica &replica, ConnectionId connection, Revision peerLastChange);
+    void requestIfBehind(Replica &replica, ConnectionId connection, const StorePosition &peerLastChange);
     void request(Replica &replica, ConnectionId connection);
-    void serve(const Replica &replica, ConnectionId connection, Revision held);
+    void serve(const Replica &replica, ConnectionId connection, const StorePosition &held);
 
     Hooks m_hooks;
     RandomSource m_random;
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -142,6 +142,7 @@
     hooks.configurationChanged = [this] { configurationChanged(); };
     hooks.instancesChanged = [this] { instancesChanged(); };
     hooks.isHeartbeat = m_protocol.isHeartbeat;
+    hooks.eraChanged = [this](const char *what, const StoreEraChange &change) { storeEraChanged(what, change); };
     hooks.availabilityChanged = [this](const char *what, bool isAvailable) {
         if (isAvailable) {
             m_log.info({"platform reachable", ResultCode::Success, {}, what});
@@ -296,8 +297,8 @@
     m_log.info({"request refused at the entry",
                 ResultCode::NoInstance,
                 pending.request,
-                "route " + pending.route->name.value() + ", no reachable instance of service " + service->value()
-                    + ", instance list revision " + std::to_string(m_replication->instances().lastChange().value())});
+                "route " + pending.route->name.value() + ", no reachable instance of service " + service->value() + ", instance list "
+                    + toText(m_replication->instances().lastChange())});
     respond(pending, refusedResult(ResultCode::NoInstance));
     return true;
 }
@@ -366,8 +367,8 @@
                 pending.request,
                 "route " + pending.route->name.value() + ", operation " + pending.operation.value() + ", after "
                     + std::to_string(elapsed.count()) + " ms and " + std::to_string(result.attempts) + " attempts" + last
-                    + ", configuration version " + std::to_string(pending.table->revision().value()) + ", instance list revision "
-                    + std::to_string(m_replication->instances().lastChange().value())});
+                    + ", configuration version " + std::to_string(pending.table->revision().value()) + ", instance list "
+                    + toText(m_replication->instances().lastChange())});
 }
 
 //! The retry delay is random, so that refused callers do not return all at once. It is at most half of the route's latency
@@ -476,6 +477,17 @@
     }
 }
 
+void MeshCore::storeEraChanged(const char *what, const StoreEraChange &change)
+{
+    ++m_counters.storeEraChanges;
+    m_log.warn({"store restored from a copy",
+                ResultCode::Success,
+                {},
+                std::string(what) + ", from " + toText(change.held) + " to " + toText(change.read) + ", " + std::to_string(change.kept)
+                    + " items kept, " + std::to_string(change.changed) + " new or changed, " + std::to_string(change.removed)
+                    + " missing"});
+}
+
 void MeshCore::configurationChanged()
 {
     for (const auto &[key, item] : m_replication->configuration().items()) {
@@ -503,7 +515,7 @@
                 ResultCode::Success,
                 {},
                 "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
-                    + " routes, store revision " + std::to_string(item.revision.value())});
+                    + " routes, store " + toText(item.position())});
 }
 
 void MeshCore::instancesChanged()
@@ -585,8 +597,8 @@
     m_log.info({"instance list applied",
                 ResultCode::Success,
                 {},
-                "revision " + std::to_string(m_replication->instances().lastChange().value()) + ", " + std::to_string(m_instances.size())
-                    + " instances, " + std::to_string(leaving) + " leaving"});
+                toText(m_replication->instances().lastChange()) + ", " + std::to_string(m_instances.size()) + " instances, "
+                    + std::to_string(leaving) + " leaving"});
 }
 
 void MeshCore::updateOwnCandidate()
@@ -653,8 +665,12 @@
     StatusMessage status;
     status.draining = m_shutdown.hasStarted();
     status.incarnation = m_executor->incarnation();
-    status.configurationRevision = m_replication->configuration().lastChange();
-    status.instancesRevision = m_replication->instances().lastChange();
+    const StorePosition configuration = m_replication->configuration().lastChange();
+    const StorePosition instances = m_replication->instances().lastChange();
+    status.configurationRevision = configuration.revision;
+    status.configurationEra = configuration.era;
+    status.instancesRevision = instances.revision;
+    status.instancesEra = instances.era;
     status.clearingRank = m_executor->clearingRank();
     status.storeAvailableFor = m_replication->storeAvailableFor();
     return status;
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -30,6 +30,8 @@
     std::uint64_t callerDisconnects = 0;
     std::uint64_t overloaded = 0;
     std::uint64_t invalidInstanceEntries = 0;
+    //! Newer eras of the store that were taken over, counted for the configuration and for the instance list.
+    std::uint64_t storeEraChanges = 0;
     //! Ended connections of callers by CloseReason, and those of them that left a request without a complete response.
     std::array<std::uint64_t, closeReasonCount> closedConnections{};
     std::array<std::uint64_t, closeReasonCount> unansweredRequests{};
@@ -128,6 +130,7 @@
     std::optional<ResultCode> startRefusal(const CallMessage &call) const;
     void submit(CallMessage call, Duration queueingDelay, Executor::Reply reply);
 
+    void storeEraChanged(const char *what, const StoreEraChange &change);
     void configurationChanged();
     void instancesChanged();
     const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -47,7 +47,11 @@
         gauge("chervilpaddle_configuration_revision", "Version in force", static_cast<double>(core.routes().revision().value()));
         gauge("chervilpaddle_instances_revision",
               "Last change of the instance list in force",
-              static_cast<double>(core.replication().instances().lastChange().value()));
+              static_cast<double>(core.replication().instances().lastChange().revision.value()));
+        gauge("chervilpaddle_store_era",
+              "Era of the store to which the instance list belongs",
+              static_cast<double>(core.replication().instances().lastChange().era.value()));
+        counter("chervilpaddle_store_era_changes_total", "Newer eras of the store that were taken over", counters.storeEraChanges);
         scrapeReplication(core.replication());
         std::vector<prometheus::MetricFamily> latencies = {requestLatencies(counters)};
         return scrapeCommon(core, std::move(latencies));
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -364,6 +364,19 @@
     encode(fields.startField("ticket"), m.ticket);
 }
 
+void encodeEra(FieldWriter &fields, std::string_view name, const std::optional<StoreEra> &era)
+{
+    if (era) {
+        fields.field(name, era->value());
+    }
+}
+
+std::optional<StoreEra> decodeEra(const CborValue &value, std::string_view name)
+{
+    const auto era = value.find(name);
+    return era ? std::optional<StoreEra>(era->unsignedNumber()) : std::nullopt;
+}
+
 void encode(FieldWriter &fields, const StatusMessage &m)
 {
     fields.field("kind", "status");
@@ -372,6 +385,8 @@
     fields.field("incarnation", m.incarnation.value());
     fields.field("configuration", m.configurationRevision.value());
     fields.field("instances", m.instancesRevision.value());
+    encodeEra(fields, "configurationEra", m.configurationEra);
+    encodeEra(fields, "instancesEra", m.instancesEra);
     fields.field("clearing", m.clearingRank);
     if (m.storeAvailableFor) {
         fields.field("storeAvailable", std::int64_t(m.storeAvailableFor->count()));
@@ -388,6 +403,8 @@
     m.incarnation = Incarnation(v.at("incarnation").unsignedNumber());
     m.configurationRevision = Revision(v.at("configuration").unsignedNumber());
     m.instancesRevision = Revision(v.at("instances").unsignedNumber());
+    m.configurationEra = decodeEra(v, "configurationEra");
+    m.instancesEra = decodeEra(v, "instancesEra");
     if (const auto clearing = v.find("clearing"); clearing) {
         m.clearingRank = decodeFinite(*clearing);
     }
@@ -420,6 +437,7 @@
 {
     fields.field("kind", "getConfiguration");
     fields.field("held", m.heldRevision.value());
+    encodeEra(fields, "era", m.heldEra);
     encode(fields.startField("digests"), m.heldDigests);
 }
 
@@ -434,6 +452,7 @@
 {
     fields.field("kind", "getInstances");
     fields.field("held", m.heldRevision.value());
+    encodeEra(fields, "era", m.heldEra);
 }
 
 void encode(FieldWriter &fields, const InstancesMessage &m)
@@ -464,13 +483,13 @@
         return VoidTicketMessage{decodeTicket(v.at("ticket"))};
     }
     if (kind == "getConfiguration") {
-        return ConfigurationRequest{Revision(v.at("held").unsignedNumber()), decodeCustomerMap(v.at("digests"))};
+        return ConfigurationRequest{Revision(v.at("held").unsignedNumber()), decodeCustomerMap(v.at("digests")), decodeEra(v, "era")};
     }
     if (kind == "configuration") {
         return ConfigurationMessage{decodeText(v.at("manifest")), decodeCustomerMap(v.at("contracts"))};
     }
     if (kind == "getInstances") {
-        return InstancesRequest{Revision(v.at("held").unsignedNumber())};
+        return InstancesRequest{Revision(v.at("held").unsignedNumber()), decodeEra(v, "era")};
     }
     if (kind == "instances") {
         return InstancesMessage{decodeText(v.at("document"))};
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
+#include <chervilpaddle/base/storeera.h>
 #include <chervilpaddle/base/units.h>
 
 #include <map>
@@ -154,6 +155,9 @@
     //! Revisions that the sender holds.
     Revision configurationRevision;
     Revision instancesRevision;
+    //! The eras of the store to which these belong. Not set by peers that do not distinguish eras.
+    std::optional<StoreEra> configurationEra = std::nullopt;
+    std::optional<StoreEra> instancesEra = std::nullopt;
     //! Entry nodes reject requests ranked below this value, to protect the sender's backend server from overload; see
     //! ClearingRank.
     Rank clearingRank = 0;
@@ -166,6 +170,8 @@
 {
     Revision heldRevision;
     std::map<CustomerName, std::string> heldDigests;
+    //! The era of the store to which the revision belongs. Not set by peers that do not distinguish eras.
+    std::optional<StoreEra> heldEra = std::nullopt;
 };
 
 struct ConfigurationMessage
@@ -177,6 +183,8 @@
 struct InstancesRequest
 {
     Revision heldRevision;
+    //! The era of the store to which the revision belongs. Not set by peers that do not distinguish eras.
+    std::optional<StoreEra> heldEra = std::nullopt;
 };
 
 struct InstancesMessage
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -28,7 +28,10 @@
     std::deque<std::function<void()>> scheduled;
     Duration lastDelay{};
     int changes = 0;
+    std::vector<StoreEraChange> eraChanges;
     std::vector<bool> availability;
+    //! The era that the store reports; not set if it reports none.
+    std::optional<StoreEra> era;
     PrefixMirror mirror;
 
     explicit FakeStore(std::uint64_t seed = 1)
@@ -50,6 +53,7 @@
         hooks.reader.watch = [this](const std::string & /*prefix*/, Revision after, Duration timeout, auto reply) {
             watches.push_back({after, timeout, std::move(reply)});
         };
+        hooks.eraChanged = [this](const StoreEraChange &change) { eraChanges.push_back(change); };
         hooks.changed = [this] { ++changes; };
         // A value is a text, a hyphen and the number of the heartbeat.
         hooks.isHeartbeat = [](const StoreItem &previous, const StoreItem &next) {
@@ -63,14 +67,14 @@
     {
         const Range range = std::move(ranges.front());
         ranges.pop_front();
-        range.reply({StoreStatus::Success, items, hasMore, Revision(revision)});
+        range.reply({StoreStatus::Success, items, hasMore, Revision(revision), era});
     }
 
     void events(const std::vector<StoreEvent> &events, std::uint64_t revision)
     {
         const Watch watch = std::move(watches.front());
         watches.pop_front();
-        watch.reply({StoreStatus::Success, events, Revision(revision)});
+        watch.reply({StoreStatus::Success, events, Revision(revision), era});
         runScheduled();
     }
 
@@ -78,7 +82,7 @@
     {
         const Watch watch = std::move(watches.front());
         watches.pop_front();
-        watch.reply({status, {}, Revision()});
+        watch.reply({status, {}, Revision(), era});
     }
 
     void runScheduled()
@@ -89,6 +93,16 @@
             action();
         }
     }
+
+    //! Restores the store from a copy: the watch that is out fails, and the next one begins at a revision that the store lacks.
+    void restore(std::uint64_t newEra)
+    {
+        failWatch(StoreStatus::Failed);
+        runScheduled();
+        era = StoreEra(newEra);
+        failWatch(StoreStatus::Compacted);
+        runScheduled();
+    }
 };
 
 StoreItem item(const std::string &key, const std::string &value, std::uint64_t revision)
@@ -96,6 +110,11 @@
     return {key, value, Revision(revision)};
 }
 
+StorePosition position(std::uint64_t era, std::uint64_t revision)
+{
+    return {StoreEra(era), Revision(revision)};
+}
+
 } // namespace
 
 Test(prefixmirror, reads_pages_then_watches_for_changes)
@@ -191,7 +210,7 @@
     behind.mirror.start();
     behind.page({item("p/a", "1", 3), item("p/b", "1", 4)}, 10);
     ahead.events({{item("p/a", "", 11), true}, {item("p/c", "2", 12), false}}, 12);
-    const std::string changes = ahead.mirror.changesSince(Revision(10));
+    const std::string changes = ahead.mirror.changesSince(position(0, 10));
     cr_assert_eq(changes.find("p/b"), std::string::npos, "an unchanged item is not sent");
     cr_assert(behind.mirror.apply(changes) == MirrorUpdate::Applied);
     cr_assert_eq(behind.mirror.items().count("p/a"), 0);
@@ -209,8 +228,8 @@
     behind.page({item("p/a", "1", 3)}, 10);
     ahead.events({{item("p/b", "1", 11), false}}, 11);
     ahead.events({{item("p/c", "1", 12), false}}, 12);
-    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(Revision(11))) == MirrorUpdate::Gap);
-    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(behind.mirror.syncedRevision())) == MirrorUpdate::Applied);
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(position(0, 11))) == MirrorUpdate::Gap);
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(behind.mirror.synced())) == MirrorUpdate::Applied);
     cr_assert_eq(behind.mirror.items().size(), 3);
 }
 
@@ -227,7 +246,7 @@
     ahead.runScheduled();
     ahead.page({item("p/b", "2", 40)}, 50);
     cr_assert(behind.mirror.isBehind(ahead.mirror.lastChange()));
-    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(Revision(10))) == MirrorUpdate::Applied);
+    cr_assert(behind.mirror.apply(ahead.mirror.changesSince(position(0, 10))) == MirrorUpdate::Applied);
     cr_assert_eq(behind.mirror.items().size(), 1);
     cr_assert_str_eq(behind.mirror.items().at("p/b").value.c_str(), "2");
 }
@@ -255,17 +274,17 @@
     const int changesBefore = store.changes;
     store.events({{item("p/a", "ready-2", 11), false}, {item("p/b", "ready-2", 12), false}}, 12);
     cr_assert_eq(store.changes, changesBefore);
-    cr_assert_eq(store.mirror.lastChange().value(), 4, "peers are not told of a change");
-    cr_assert_eq(store.mirror.syncedRevision().value(), 12);
+    cr_assert_eq(store.mirror.lastChange().revision.value(), 4, "peers are not told of a change");
+    cr_assert_eq(store.mirror.synced().revision.value(), 12);
     cr_assert_eq(store.watches.front().after.value(), 12);
     cr_assert_eq(store.mirror.items().at("p/a").revision.value(), 3, "what was decoded from the item still holds");
     cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "ready-2", "the next heartbeat is compared with the latest");
     const Duration delayAfterHeartbeats = store.lastDelay;
     store.events({{item("p/a", "ready-3", 13), false}, {item("p/b", "leaving-3", 14), false}}, 14);
     cr_assert_eq(store.changes, changesBefore + 1);
-    cr_assert_eq(store.mirror.lastChange().value(), 14);
+    cr_assert_eq(store.mirror.lastChange().revision.value(), 14);
     cr_assert_lt(store.lastDelay, delayAfterHeartbeats, "where heartbeats alone end the watches, they are asked for more rarely");
-    cr_assert_eq(store.mirror.changesSince(Revision(10)).find("p/a"), std::string::npos, "peers do not get heartbeats");
+    cr_assert_eq(store.mirror.changesSince(position(0, 10)).find("p/a"), std::string::npos, "peers do not get heartbeats");
 }
 
 Test(prefixmirror, a_repeated_read_that_finds_heartbeats_only_is_no_change)
@@ -278,7 +297,7 @@
     store.runScheduled();
     store.page({item("p/a", "ready-9", 40)}, 50);
     cr_assert_eq(store.changes, changesBefore);
-    cr_assert_eq(store.mirror.lastChange().value(), 3);
+    cr_assert_eq(store.mirror.lastChange().revision.value(), 3);
 }
 
 Test(prefixmirror, a_mirror_that_does_not_know_whether_the_store_answers_asks_it_briefly)
@@ -299,6 +318,208 @@
     cr_assert_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
 }
 
+Test(prefixmirror, items_at_lower_revisions_are_taken_after_a_restoration)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "new", 90), item("p/b", "1", 4)}, 100);
+    store.restore(2);
+    store.page({item("p/a", "old", 30), item("p/b", "1", 4)}, 60);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "old");
+    cr_assert(store.mirror.synced() == position(2, 60));
+    cr_assert_eq(store.watches.front().after.value(), 60);
+    store.events({{item("p/a", "newer", 61), false}}, 61);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "newer", "revisions are given out again");
+    cr_assert(store.mirror.items().at("p/a").position() == position(2, 61));
+}
+
+Test(prefixmirror, another_value_at_the_same_revision_is_a_change_after_a_restoration)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "first", 100)}, 100);
+    const int changesBefore = store.changes;
+    store.restore(2);
+    store.page({item("p/a", "second", 100)}, 100);
+    cr_assert_eq(store.changes, changesBefore + 1);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "second");
+    cr_assert(store.mirror.items().at("p/a").position() == position(2, 100), "what was decoded at that revision is not taken for it");
+}
+
+Test(prefixmirror, reports_what_a_restoration_has_kept_changed_and_removed)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "ready-9", 90), item("p/b", "ready-9", 91), item("p/c", "ready-1", 92)}, 100);
+    store.restore(2);
+    store.page({item("p/a", "ready-4", 40), item("p/b", "leaving-4", 41), item("p/d", "ready-1", 42)}, 60);
+    cr_assert_eq(store.eraChanges.size(), 1);
+    const StoreEraChange &change = store.eraChanges.front();
+    cr_assert(change.held == position(1, 100));
+    cr_assert(change.read == position(2, 60));
+    cr_assert_eq(change.kept, 1, "an earlier heartbeat is no change");
+    cr_assert_eq(change.changed, 2);
+    cr_assert_eq(change.removed, 1);
+}
+
+Test(prefixmirror, two_restorations_in_a_row_are_followed)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "1", 90)}, 100);
+    store.restore(2);
+    store.era = StoreEra(3);
+    store.page({item("p/a", "3", 20)}, 50);
+    store.failWatch(StoreStatus::Failed);
+    store.runScheduled();
+    store.era = StoreEra(4);
+    store.failWatch(StoreStatus::Compacted);
+    store.runScheduled();
+    store.page({item("p/a", "4", 10)}, 40);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "4");
+    cr_assert(store.mirror.synced() == position(4, 40));
+    cr_assert_eq(store.eraChanges.size(), 2);
+}
+
+Test(prefixmirror, pages_of_two_eras_are_not_mixed)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "lost", 90)}, 100, true);
+    store.era = StoreEra(2);
+    store.page({item("p/b", "2", 50)}, 60);
+    cr_assert(!store.mirror.hasContent());
+    cr_assert(store.ranges.empty(), "the items are not read again without a pause");
+    store.runScheduled();
+    cr_assert_str_eq(store.ranges.front().afterKey.c_str(), "");
+    store.page({item("p/b", "2", 50)}, 60);
+    cr_assert_eq(store.mirror.items().size(), 1);
+    cr_assert(store.mirror.synced() == position(2, 60));
+}
+
+Test(prefixmirror, a_watch_that_continues_in_another_era_is_not_applied)
+{
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "1", 90)}, 100);
+    store.era = StoreEra(2);
+    // The store was restored, and its new revisions have already passed that of the watch.
+    store.events({{item("p/b", "2", 101), false}}, 101);
+    cr_assert_eq(store.mirror.items().count("p/b"), 0, "the changes before it are missing");
+    store.page({item("p/b", "2", 101), item("p/c", "2", 99)}, 101);
+    cr_assert_eq(store.mirror.items().size(), 2);
+    cr_assert_eq(store.mirror.items().count("p/a"), 0);
+}
+
+Test(prefixmirror, a_response_of_an_older_era_is_ignored)
+{
+    FakeStore newer;
+    newer.era = StoreEra(2);
+    newer.mirror.start();
+    newer.page({item("p/a", "copy", 40)}, 60);
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "1", 90)}, 100);
+    cr_assert(store.mirror.apply(newer.mirror.snapshot()) == MirrorUpdate::Applied);
+    // This watch and this read were answered before the restoration.
+    store.events({{item("p/a", "lost", 101), false}}, 101);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "copy");
+    cr_assert_eq(store.watches.front().after.value(), 60);
+    store.failWatch(StoreStatus::Compacted);
+    store.runScheduled();
+    store.page({item("p/a", "lost", 101)}, 101);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "copy");
+    cr_assert(store.watches.empty() && store.ranges.empty(), "the store is not called again without a pause");
+    store.runScheduled();
+    cr_assert_eq(store.watches.front().after.value(), 60);
+    cr_assert(store.mirror.synced() == position(2, 60));
+}
+
+Test(prefixmirror, items_that_a_peer_has_brought_since_a_compaction_are_not_read_again)
+{
+    FakeStore ahead;
+    ahead.mirror.start();
+    ahead.page({item("p/a", "2", 40)}, 60);
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "1", 3)}, 10);
+    store.failWatch(StoreStatus::Compacted);
+    cr_assert(store.mirror.apply(ahead.mirror.snapshot()) == MirrorUpdate::Applied);
+    store.runScheduled();
+    cr_assert(store.ranges.empty());
+    cr_assert_eq(store.watches.front().after.value(), 60);
+}
+
+Test(prefixmirror, items_that_a_peer_has_brought_since_a_restoration_are_not_read_again)
+{
+    FakeStore newer;
+    newer.era = StoreEra(2);
+    newer.mirror.start();
+    newer.page({item("p/a", "copy", 40)}, 60);
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "1", 90)}, 100);
+    store.failWatch(StoreStatus::Compacted);
+    cr_assert(store.mirror.apply(newer.mirror.snapshot()) == MirrorUpdate::Applied);
+    store.runScheduled();
+    cr_assert(store.ranges.empty());
+    cr_assert_eq(store.watches.front().after.value(), 60);
+}
+
+Test(prefixmirror, changes_of_another_era_than_the_held_one_are_a_gap)
+{
+    FakeStore newer;
+    newer.era = StoreEra(2);
+    newer.mirror.start();
+    newer.page({item("p/a", "copy", 40)}, 60);
+    newer.events({{item("p/b", "2", 61), false}}, 61);
+    FakeStore older;
+    older.era = StoreEra(1);
+    older.mirror.start();
+    older.page({item("p/a", "1", 90)}, 100);
+    cr_assert(older.mirror.isBehind(newer.mirror.lastChange()));
+    cr_assert(!newer.mirror.isBehind(older.mirror.lastChange()));
+    cr_assert(newer.mirror.apply(older.mirror.snapshot()) == MirrorUpdate::NotNewer);
+    cr_assert(older.mirror.apply(newer.mirror.changesSince(position(2, 60))) == MirrorUpdate::Gap);
+    cr_assert_eq(older.mirror.items().count("p/b"), 0);
+    cr_assert(older.mirror.apply(newer.mirror.changesSince(older.mirror.synced())) == MirrorUpdate::Applied);
+    cr_assert_eq(older.mirror.items().size(), 2);
+    cr_assert_str_eq(older.mirror.items().at("p/a").value.c_str(), "copy");
+    cr_assert_eq(older.eraChanges.size(), 1, "the hook is also called for the document of a peer");
+}
+
+Test(prefixmirror, the_store_counts_as_available_anew_after_a_restoration)
+{
+    using namespace std::chrono_literals;
+    FakeStore store;
+    store.era = StoreEra(1);
+    store.mirror.start();
+    store.page({item("p/a", "1", 90)}, 100);
+    store.now += 60s;
+    store.failWatch(StoreStatus::Compacted);
+    store.era = StoreEra(2);
+    store.runScheduled();
+    store.page({}, 60);
+    cr_assert(store.mirror.availableSince() == store.now);
+    FakeStore follower;
+    follower.era = StoreEra(1);
+    follower.mirror.setReading(false);
+    follower.mirror.start();
+    follower.page({item("p/a", "1", 90)}, 100);
+    follower.now += 60s;
+    follower.mirror.setAvailableSince(follower.now - 60s);
+    cr_assert(follower.mirror.apply(store.mirror.snapshot()) == MirrorUpdate::Applied);
+    cr_assert(follower.mirror.availableSince() == follower.now, "a report of a reader that has not seen the restoration is out of date");
+}
+
 Test(prefixmirror, history_that_is_discarded_again_and_again_does_not_cause_reads_without_a_pause)
 {
     using namespace std::chrono_literals;
@@ -322,17 +543,17 @@
     cr_expect_lt(store.lastDelay, 200ms, "a watch that succeeds ends the series");
 }
 
-Test(prefixmirror, items_that_a_peer_has_brought_since_a_compaction_are_not_read_again)
+Test(prefixmirror, a_document_without_an_era_does_not_replace_items_of_a_known_era)
 {
-    FakeStore ahead;
-    ahead.mirror.start();
-    ahead.page({item("p/a", "2", 40)}, 60);
     FakeStore store;
     store.mirror.start();
-    store.page({item("p/a", "1", 3)}, 10);
-    store.failWatch(StoreStatus::Compacted);
-    cr_assert(store.mirror.apply(ahead.mirror.snapshot()) == MirrorUpdate::Applied);
-    store.runScheduled();
-    cr_assert(store.ranges.empty());
-    cr_assert_eq(store.watches.front().after.value(), 60);
+    store.page({item("p/a", "1", 90)}, 100);
+    cr_assert(store.mirror.apply(R"({"since":100,"synced":110,"lastChange":110,"items":[["p/a","2",110]]})") == MirrorUpdate::Applied);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "2", "the store does not report an era either");
+    store.events({}, 110);
+    store.era = StoreEra(1);
+    store.events({}, 111);
+    store.page({item("p/a", "copy", 40)}, 60);
+    cr_assert(store.mirror.apply(R"({"synced":120,"lastChange":120,"items":[["p/a","lost",120]]})") == MirrorUpdate::NotNewer);
+    cr_assert_str_eq(store.mirror.items().at("p/a").value.c_str(), "copy");
 }
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -53,6 +53,31 @@
         m_watches = std::move(waiting);
     }
 
+    //! Keeps a copy of the store.
+    void copyStore()
+    {
+        m_copy = {m_items, m_history, m_revision};
+    }
+
+    //! Restores the store from the copy. Watches that are out are cut.
+    void restoreStore()
+    {
+        m_items = m_copy.items;
+        m_history = m_copy.history;
+        m_revision = m_copy.revision;
+        ++m_era;
+        for (const Watch &watch : std::exchange(m_watches, {})) {
+            time.after(storeDelay, [watch] { watch.reply({}); });
+        }
+    }
+
+    //! Replaces a node by a new process.
+    void restart(const InstanceId &id)
+    {
+        m_replaced.push_back(std::move(nodes.at(id)));
+        startNode(static_cast<int>(m_numbers.at(id)));
+    }
+
     //! Removes nodes, of which all others learn at once.
     void remove(const std::vector<InstanceId> &ids)
     {
@@ -107,9 +132,13 @@
     std::set<InstanceId> stopped;
     //! Nodes whose requests to the store fail.
     std::set<InstanceId> withoutStore;
+    //! Nodes of a build that does not know eras.
+    std::set<InstanceId> withoutEras;
     //! The store does not keep any changes.
     bool discardsHistory = false;
+    int eraChanges = 0;
     int storeCalls = 0;
+    std::map<InstanceId, int> storeCallsOf;
     int documents = 0;
     std::size_t documentBytes = 0;
     int otherMessages = 0;
@@ -126,6 +155,12 @@
     };
 
     void addNode(int index)
+    {
+        startNode(index);
+        tick(m_list.instances[static_cast<std::size_t>(index)].instance);
+    }
+
+    void startNode(int index)
     {
         const PublishedInstance &own = m_list.instances[static_cast<std::size_t>(index)];
         const InstanceId id = own.instance;
@@ -140,6 +175,7 @@
         hooks.sendStatus = [this, id](const InstanceId &to) { deliver(id, to, statusOf(id)); };
         hooks.configurationChanged = [] {};
         hooks.instancesChanged = [this] { ++instanceListUpdates; };
+        hooks.eraChanged = [this](const char * /*what*/, const StoreEraChange & /*change*/) { ++eraChanges; };
         // A value is a text, a hyphen and the number of the heartbeat.
         hooks.isHeartbeat = [](const StoreItem &previous, const StoreItem &next) {
             return previous.value.substr(0, previous.value.find('-')) == next.value.substr(0, next.value.find('-'));
@@ -151,7 +187,6 @@
         m_numbers[id] = static_cast<std::uint64_t>(index);
         node->start();
         node->setInstances(m_list);
-        tick(id);
     }
 
     void tick(const InstanceId &id)
@@ -165,14 +200,40 @@
     StatusMessage statusOf(const InstanceId &id) const
     {
         StatusMessage status;
-        status.configurationRevision = nodes.at(id)->configuration().lastChange();
-        status.instancesRevision = nodes.at(id)->instances().lastChange();
+        const StorePosition configuration = nodes.at(id)->configuration().lastChange();
+        const StorePosition instances = nodes.at(id)->instances().lastChange();
+        status.configurationRevision = configuration.revision;
+        status.configurationEra = configuration.era;
+        status.instancesRevision = instances.revision;
+        status.instancesEra = instances.era;
         status.storeAvailableFor = nodes.at(id)->storeAvailableFor();
         return status;
     }
 
-    void deliver(const InstanceId &from, const InstanceId &to, const PeerMessage &message)
+    //! The message as a node that does not know eras writes it.
+    static PeerMessage withoutEra(PeerMessage message)
     {
+        const auto removeEra = [](std::string &document) {
+            if (const auto begin = document.find("\"era\":"); begin != std::string::npos) {
+                document.erase(begin, document.find(',', begin) + 1 - begin);
+            }
+        };
+        if (auto *status = std::get_if<StatusMessage>(&message); status != nullptr) {
+            status->configurationEra.reset();
+            status->instancesEra.reset();
+        } else if (auto *wantsInstances = std::get_if<InstancesRequest>(&message); wantsInstances != nullptr) {
+            wantsInstances->heldEra.reset();
+        } else if (auto *instances = std::get_if<InstancesMessage>(&message); instances != nullptr) {
+            removeEra(instances->document);
+        }
+        return message;
+    }
+
+    void deliver(const InstanceId &from, const InstanceId &to, PeerMessage message)
+    {
+        if (withoutEras.count(from) != 0) {
+            message = withoutEra(std::move(message));
+        }
         if (const auto *document = std::get_if<InstancesMessage>(&message); document != nullptr) {
             ++documents;
             documentBytes += document->document.size();
@@ -191,18 +252,20 @@
         StoreReader reader;
         reader.range = [this, id](const std::string &prefix, const std::string & /*after*/, auto reply) {
             ++storeCalls;
+            ++storeCallsOf[id];
             time.after(storeDelay, [this, id, prefix, reply] {
                 StorePage page;
                 if (withoutStore.count(id) == 0) {
-                    page = {StoreStatus::Success, itemsUnder(prefix), false, Revision(m_revision)};
+                    page = {StoreStatus::Success, itemsUnder(prefix), false, Revision(m_revision), StoreEra(m_era)};
                 }
                 reply(page);
             });
         };
         reader.watch = [this, id](const std::string &prefix, Revision after, Duration timeout, auto reply) {
             ++storeCalls;
+            ++storeCallsOf[id];
             Watch watch{id, prefix, after, reply, ++m_lastWatch};
-            if (withoutStore.count(id) != 0 || discardsHistory || !changesUnder(prefix, after).empty()) {
+            if (withoutStore.count(id) != 0 || isCompacted(after) || !changesUnder(prefix, after).empty()) {
                 answerWatch(watch);
                 return;
             }
@@ -228,8 +291,8 @@
     {
         StoreChanges changes;
         if (withoutStore.count(watch.node) == 0) {
-            const StoreStatus status = discardsHistory ? StoreStatus::Compacted : StoreStatus::Success;
-            changes = {status, changesUnder(watch.prefix, watch.after), Revision(m_revision)};
+            const StoreStatus status = isCompacted(watch.after) ? StoreStatus::Compacted : StoreStatus::Success;
+            changes = {status, changesUnder(watch.prefix, watch.after), Revision(m_revision), StoreEra(m_era)};
         }
         time.after(storeDelay, [this, watch, changes] {
             if (stopped.count(watch.node) == 0) {
@@ -238,6 +301,11 @@
         });
     }
 
+    bool isCompacted(Revision after) const
+    {
+        return discardsHistory || Revision(m_revision) < after;
+    }
+
     std::vector<StoreItem> itemsUnder(const std::string &prefix) const
     {
         std::vector<StoreItem> items;
@@ -260,8 +328,19 @@
         return events;
     }
 
+    struct Copy
+    {
+        std::map<std::string, StoreItem> items;
+        std::vector<StoreEvent> history;
+        std::uint64_t revision = 0;
+    };
+
     InstanceList m_list;
     std::map<InstanceId, std::uint64_t> m_numbers;
+    //! Kept because responses of the store may still arrive.
+    std::vector<std::unique_ptr<StoreReplication>> m_replaced;
+    Copy m_copy;
+    std::uint64_t m_era = 1;
     std::map<std::string, StoreItem> m_items;
     std::vector<StoreEvent> m_history;
     std::uint64_t m_revision = 0;
@@ -406,6 +485,117 @@
     cr_assert_eq(substitutes, 0, "%d nodes read the store themselves", substitutes);
 }
 
+//! The store is restored from a copy, and a change is written at a revision that had been given out before.
+Test(storereplication, a_change_after_a_restoration_reaches_all_nodes)
+{
+    for (const int size : {15, 60}) {
+        ReplicatedFleet fleet(size);
+        fleet.write("i/a", "1");
+        fleet.copyStore();
+        fleet.time.runFor(1s);
+        for (int i = 0; i < 50; ++i) {
+            fleet.write("i/lost", std::to_string(i));
+        }
+        fleet.time.runFor(5s);
+        cr_assert_eq(fleet.holders("i/lost", "49"), size);
+        fleet.restoreStore();
+        fleet.write("i/a", "2");
+        fleet.time.runFor(2s);
+        cr_expect_eq(fleet.holders("i/a", "2"), size, "%d of %d nodes", fleet.holders("i/a", "2"), size);
+        cr_expect_eq(fleet.holders("i/lost", "49"), 0);
+        fleet.write("i/a", "3");
+        fleet.time.runFor(2s);
+        cr_expect_eq(fleet.holders("i/a", "3"), size, "%d of %d nodes", fleet.holders("i/a", "3"), size);
+    }
+}
+
+Test(storereplication, two_restorations_in_a_row_reach_all_nodes)
+{
+    ReplicatedFleet fleet(30);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    fleet.write("i/lost", "1");
+    fleet.time.runFor(3s);
+    fleet.restoreStore();
+    fleet.write("i/lost", "2");
+    fleet.time.runFor(150ms);
+    fleet.restoreStore();
+    fleet.write("i/a", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 30);
+    cr_assert_eq(fleet.holders("i/lost", "1") + fleet.holders("i/lost", "2"), 0);
+}
+
+//! Nodes that cannot reach the store for a while, among them readers, hear of the restoration from the others.
+Test(storereplication, a_restoration_that_some_readers_do_not_see_reaches_all_nodes)
+{
+    ReplicatedFleet fleet(30);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    fleet.write("i/lost", "1");
+    fleet.time.runFor(3s);
+    const auto readers = fleet.selectedReaders();
+    for (std::size_t i = 0; i < readers.size(); i += 2) {
+        fleet.withoutStore.insert(readers[i]);
+    }
+    fleet.restoreStore();
+    fleet.write("i/a", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 30);
+    cr_assert_eq(fleet.holders("i/lost", "1"), 0);
+    fleet.withoutStore.clear();
+    fleet.write("i/a", "3");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "3"), 30);
+}
+
+Test(storereplication, a_node_that_knows_only_the_copy_follows_later_changes)
+{
+    ReplicatedFleet fleet(30);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    fleet.write("i/lost", "1");
+    fleet.time.runFor(3s);
+    fleet.restoreStore();
+    fleet.restart(fleet.selectedReaders().front());
+    fleet.restart(InstanceId("n7"));
+    fleet.time.runFor(50ms);
+    fleet.write("i/a", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 30);
+    cr_assert_eq(fleet.holders("i/lost", "1"), 0);
+}
+
+Test(storereplication, a_restoration_costs_few_calls_to_the_store)
+{
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    ReplicatedFleet fleet(60);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    for (int i = 0; i < 50; ++i) {
+        fleet.write("i/lost", std::to_string(i));
+    }
+    fleet.time.runFor(5s);
+    fleet.storeCalls = 0;
+    fleet.storeCallsOf.clear();
+    fleet.documents = 0;
+    fleet.eraChanges = 0;
+    fleet.restoreStore();
+    fleet.time.runFor(2s);
+    // For each of two prefixes: the watch that is tried again and refused, one read, and the watches after it. Some nodes have read the
+    // store in place of readers whose watches were cut.
+    constexpr int callsPerReader = 2 * 4;
+    const int reading = readers + fleet.substitutes();
+    cr_expect_leq(fleet.storeCalls, reading * callsPerReader, "%d calls of %d nodes", fleet.storeCalls, reading);
+    for (const auto &[id, calls] : fleet.storeCallsOf) {
+        cr_expect_leq(calls, callsPerReader, "%d calls of %s", calls, id.value().c_str());
+    }
+    // Each reader sends its items once, and a node that hears of a newer state asks for it once.
+    cr_expect_leq(
+        fleet.documents, (static_cast<int>(storeReadersPerDataCentre) + 1) * 60 + readers * readers, "%d documents", fleet.documents);
+    cr_expect_eq(fleet.eraChanges, 2 * 60, "%d eras taken over", fleet.eraChanges);
+}
+
 Test(storereplication, history_that_is_never_kept_does_not_make_nodes_loop_on_the_store)
 {
     constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
@@ -420,3 +610,22 @@
     fleet.time.runFor(2s);
     cr_assert_eq(fleet.holders("i/a", "2"), 60, "a change is known within two seconds all the same");
 }
+
+//! While a fleet is updated, the readers may be of a build that does not notice a restoration.
+Test(storereplication, nodes_do_not_rely_on_readers_that_do_not_know_eras)
+{
+    ReplicatedFleet fleet(30);
+    const auto readers = fleet.selectedReaders();
+    fleet.withoutEras.insert(readers.begin(), readers.end());
+    fleet.time.runFor(2s);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    fleet.write("i/lost", "1");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/lost", "1"), 30);
+    fleet.restoreStore();
+    fleet.write("i/a", "2");
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 30);
+    cr_assert_eq(fleet.holders("i/lost", "1"), 0);
+}
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -228,6 +228,49 @@
     cr_assert_float_eq(std::get<StatusMessage>(frame.message).clearingRank, 8.25, 1e-9);
 }
 
+Test(codec, a_node_that_does_not_know_eras_and_one_that_does_understand_each_other)
+{
+    StatusMessage status;
+    status.configurationRevision = Revision(7);
+    status.instancesRevision = Revision(9);
+    status.configurationEra = StoreEra(2);
+    status.instancesEra = StoreEra(3);
+    const ConfigurationRequest configurationRequest{Revision(7), {}, StoreEra(2)};
+    const InstancesRequest instancesRequest{Revision(9), StoreEra(3)};
+    PeerFrame frame;
+
+    json value = json::from_cbor(encodeFrame({status, TimePoint()}));
+    cr_assert_eq(value.at("configuration"), 7);
+    cr_assert_eq(value.at("instances"), 9);
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(std::get<StatusMessage>(frame.message).configurationEra == StoreEra(2));
+    cr_assert(std::get<StatusMessage>(frame.message).instancesEra == StoreEra(3));
+    value.erase("configurationEra");
+    value.erase("instancesEra");
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(!std::get<StatusMessage>(frame.message).configurationEra);
+    cr_assert(!std::get<StatusMessage>(frame.message).instancesEra);
+    cr_assert_eq(std::get<StatusMessage>(frame.message).instancesRevision.value(), 9);
+
+    value = json::from_cbor(encodeFrame({configurationRequest, TimePoint()}));
+    cr_assert_eq(value.at("held"), 7);
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(std::get<ConfigurationRequest>(frame.message).heldEra == StoreEra(2));
+    value.erase("era");
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(!std::get<ConfigurationRequest>(frame.message).heldEra);
+
+    value = json::from_cbor(encodeFrame({instancesRequest, TimePoint()}));
+    cr_assert_eq(value.at("held"), 9);
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(std::get<InstancesRequest>(frame.message).heldEra == StoreEra(3));
+    value.erase("era");
+    cr_assert_not(decodeFrame(encoded(value), frame));
+    cr_assert(!std::get<InstancesRequest>(frame.message).heldEra);
+    value["era"] = "many";
+    cr_assert(decodeResult(encoded(value)));
+}
+
 Test(codec, rejects_payloads_that_cannot_be_written_as_http)
 {
     const json valid = exampleAsJson();
