--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -334,3 +334,46 @@
         cr_expect_not(decodeRoutes({"op/config", replaced(valid, field, fraction), Revision(5)}, reason).has_value(), "%s", field.c_str());
     }
 }
+
+Test(platform, an_invalid_item_does_not_make_the_other_items_of_a_response_unavailable)
+{
+    const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+    const std::string invalidItems[] = {"null",
+                                        "7",
+                                        "[]",
+                                        R"({"revision":4})",
+                                        R"({"key":7,"revision":4})",
+                                        R"({"key":"","revision":4})",
+                                        R"({"key":"servers/odd"})",
+                                        R"({"key":"servers/odd","revision":-1})",
+                                        R"({"key":"servers/odd","revision":1e300})",
+                                        R"({"key":"servers/odd","revision":18446744073709551615})",
+                                        R"({"key":"servers/odd","revision":true})",
+                                        deep};
+    const std::string first = R"({"key":"servers/a","value":"e30=","revision":3},)";
+    const std::string last = R"(,{"key":"servers/z","value":"e30=","revision":5})";
+    for (const std::string &invalid : invalidItems) {
+        const std::string name = invalid.substr(0, 100);
+        const StorePage page = decodePage(R"({"items":[)" + first + invalid + last + R"(],"has_more":true,"store_revision":9})");
+        cr_assert_eq(page.status, StoreStatus::Success, "%s", name.c_str());
+        cr_expect_eq(page.items.size(), 2, "%s", name.c_str());
+        cr_expect_eq(page.items.back().value, "{}");
+        cr_expect(page.hasMore);
+        const StoreChanges changes = decodeChanges(R"({"events":[)" + first + invalid + last + R"(],"store_revision":9})");
+        cr_assert_eq(changes.status, StoreStatus::Success, "%s", name.c_str());
+        cr_expect_eq(changes.events.size(), 2, "%s", name.c_str());
+        cr_expect_eq(changes.storeRevision.value(), 9);
+    }
+    for (const std::string &value : {std::string("7"), std::string("{}"), deep}) {
+        const StorePage page = decodePage(R"({"items":[{"key":"servers/odd","revision":4,"value":)" + value + R"(}],"store_revision":9})");
+        cr_assert_eq(page.items.size(), 1, "an item with a key is kept, so that its previous value is no longer used");
+        std::string reason;
+        cr_expect_not(decodeInstance(page.items.front(), reason).has_value());
+    }
+    for (const char *revision : {"-1", "1e300", "18446744073709551615", "true", "null", "1.5"}) {
+        const std::string end = std::string(R"(],"store_revision":)") + revision + "}";
+        cr_expect_eq(decodePage(R"({"items":[)" + end).status, StoreStatus::Failed, "%s", revision);
+        cr_expect_eq(decodeChanges(R"({"events":[)" + end).status, StoreStatus::Failed, "%s", revision);
+    }
+    cr_expect_eq(decodePage(R"({"items":[7],"has_more":true,"store_revision":9})").status, StoreStatus::Failed, "the next page is unknown");
+}
