--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -7,6 +7,7 @@
 #include <chervilpaddle/base/random.h>
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 using namespace chervilpaddle;
 using namespace chervilpaddle::platform;
@@ -377,3 +378,18 @@
     }
     cr_expect_eq(decodePage(R"({"items":[7],"has_more":true,"store_revision":9})").status, StoreStatus::Failed, "the next page is unknown");
 }
+
+Test(platform, an_entry_that_is_not_utf8_stays_invalid_after_peers_have_replaced_its_bytes)
+{
+    // {"service":"x","address":"10.1.0.9:8080","zone":"\xff","version":"v1","slots":1,"state":"ready","cold_remaining_s":0,"sequence":4}
+    const std::string value = "eyJzZXJ2aWNlIjoieCIsImFkZHJlc3MiOiIxMC4xLjAuOTo4MDgwIiwiem9uZSI6Iv8iLCJ2ZXJzaW9uIjoidjEiLCJzbG90cyI6MSwic3R"
+                              "hdGUiOiJyZWFkeSIsImNvbGRfcmVtYWluaW5nX3MiOjAsInNlcXVlbmNlIjo0fQ==";
+    const StorePage page = decodePage(R"({"items":[{"key":"servers/odd","revision":4,"value":")" + value + R"("}],"store_revision":9})");
+    cr_assert_eq(page.items.size(), 1);
+    StoreItem item = page.items.front();
+    std::string reason;
+    cr_expect_not(decodeInstance(item, reason).has_value());
+    const std::string sent = nlohmann::json(item.value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    item.value = nlohmann::json::parse(sent).get<std::string>();
+    cr_expect_not(decodeInstance(item, reason).has_value());
+}
