--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -393,3 +393,43 @@
     item.value = nlohmann::json::parse(sent).get<std::string>();
     cr_expect_not(decodeInstance(item, reason).has_value());
 }
+
+Test(platform, names_and_addresses_of_an_entry_that_cannot_be_used_make_it_invalid)
+{
+    const std::string valid = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":108,)"
+                              R"("state":"ready","cold_remaining_s":0,"sequence":4,"born":1700000000000})";
+    const auto isValid = [](const std::string &key, const std::string &value) {
+        std::string reason;
+        return decodeInstance({key, value, Revision(3)}, reason).has_value();
+    };
+    cr_assert(isValid("servers/i-1", valid));
+    cr_expect(isValid("servers/i-1", replaced(valid, "\"a\"", "\"z\u00fcrich 1\"")));
+    const std::string names[] = {"", "\\r\\nX-Odd: 1", "\\u0000", "\\u007f", "\\t", std::string(201, 'n'), std::string(1'000'000, 'n')};
+    for (const std::string &name : names) {
+        const std::string quoted = "\"" + name + "\"";
+        cr_expect_not(isValid("servers/i-1", replaced(valid, "\"x\"", quoted)), "service %.20s", name.c_str());
+        cr_expect_not(isValid("servers/i-1", replaced(valid, "\"a\"", quoted)), "zone %.20s", name.c_str());
+    }
+    for (const std::string &id : {std::string("i-1\r\nX-Odd: 1"), std::string("i\0", 2), std::string(201, 'i')}) {
+        cr_expect_not(isValid("servers/" + id, valid), "id %.20s", id.c_str());
+    }
+    for (const char *address : {"10.0.0.1:99999",
+                                "10.0.0.1:65536",
+                                "10.0.0.1:0",
+                                "10.0.0.1:-1",
+                                "10.0.0.1:+1",
+                                "10.0.0.1:",
+                                "10.0.0.1",
+                                ":8501",
+                                "",
+                                "host:8501",
+                                "0.0.0.0:8501",
+                                "[::]:8501",
+                                "224.0.0.1:8501",
+                                "[ff02::1]:8501",
+                                "10.0.0.1:1e3",
+                                "10.0.0.1: 80",
+                                "255.255.255.255:80"}) {
+        cr_expect_not(isValid("servers/i-1", replaced(valid, "10.1.0.9:8080", address)), "%s", address);
+    }
+}
