--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -433,3 +433,16 @@
         cr_expect_not(isValid("servers/i-1", replaced(valid, "10.1.0.9:8080", address)), "%s", address);
     }
 }
+
+Test(platform, the_reason_of_a_rejection_does_not_quote_a_long_document)
+{
+    const std::string text(1'000'000, 'a');
+    const std::string entry = R"({"service":"x","address":"10.1.0.9:8080","zone":"a","slots":1,"state":")" + text + "\"}";
+    for (const std::string &value : {entry, text, "\"" + text, "{\"" + text + "\":\x01"}) {
+        std::string reason;
+        cr_expect_not(decodeInstance({"servers/i-1", value, Revision(3)}, reason).has_value());
+        cr_expect_leq(reason.size(), 200);
+        cr_expect_not(decodeRoutes({"op/config", value, Revision(3)}, reason).has_value());
+        cr_expect_leq(reason.size(), 200);
+    }
+}
