Enforce the size limit of a response whose body arrives with its head

What a node did: it buffered a response of any size, if it had a Content-Length and its first bytes arrived together with the head. The limits of the store's responses (4 MiB) and of backend servers' responses did not act.

Cause: Boost.Beast's parser, when it is eager, goes on to the body after finish_header() has reported that the content length is over the limit, and loses that error. The head on its own, as the test had it, was not affected, nor are chunked bodies.

Change: the head is read by async_read_header(), which is not eager and reports the error, and the body by a second call. Bytes that have already arrived are taken from the buffer.

The new case of httpclient.detects_how_responses_end failed before: "body over the limit, sent with the head: stage 5" (complete); it passes now.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -161,7 +161,15 @@
         read();
     }
 
+    //! The parser loses the error of a content length over the limit unless the head is read on its own.
     void read()
+    {
+        http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            error ? self->handleRead(error) : self->readBody();
+        });
+    }
+
+    void readBody()
     {
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
             self->handleRead(error);
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -84,7 +84,10 @@
         {"conflicting content lengths",
          {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\none", true},
          HttpStage::Truncated},
-        {"body over the limit", {"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n", true}, HttpStage::TooLarge}};
+        {"body over the limit", {"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n", true}, HttpStage::TooLarge},
+        {"body over the limit, sent with the head",
+         {"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n" + std::string(4096, 'a')},
+         HttpStage::TooLarge}};
     for (const Case &c : cases) {
         const auto exchanges = exchange({c.script}, {"a"});
         cr_assert_eq(exchanges.at(0).stage, c.expected, "%s: stage %d", c.description, static_cast<int>(exchanges.at(0).stage));
