--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -5,7 +5,10 @@
 #include <platform/storecalls.h>
 
 #include <chervilpaddle/base/random.h>
+#include <chervilpaddle/transport/httpserver.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
@@ -446,3 +449,22 @@
         cr_expect_leq(reason.size(), 200);
     }
 }
+
+Test(platform, changes_that_exceed_the_size_limit_are_replaced_by_a_new_read)
+{
+    boost::asio::io_context context;
+    const auto port = boost::asio::ip::tcp::acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
+    HttpServer server({&context}, {{"127.0.0.1", port}, 1024}, [](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(textResponse(200, "application/json", R"({"events":[],"store_revision":9})" + std::string(64 * 1024, ' ')));
+    });
+    cr_assert_not(server.listen());
+    HttpClient client(context, HttpClient::Options{{"127.0.0.1", port}, 1024});
+    std::optional<StoreStatus> status;
+    storeReader(client).watch("servers/", Revision(1), std::chrono::seconds(1), [&](const StoreChanges &changes) {
+        status = changes.status;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds(10));
+    cr_assert(status.has_value());
+    cr_expect_eq(*status, StoreStatus::Compacted);
+}
