--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -468,3 +468,20 @@
     cr_assert(status.has_value());
     cr_expect_eq(*status, StoreStatus::Compacted);
 }
+
+Test(platform, an_instance_entry_of_a_megabyte_is_not_kept)
+{
+    // "AAAA" in base64 is three zero bytes.
+    std::string value;
+    for (int i = 0; i < 350'000; ++i) {
+        value += "AAAA";
+    }
+    const auto itemWithKey = [&value](const std::string &key) {
+        return decodePage(R"({"items":[{"key":")" + key + R"(","revision":4,"value":")" + value + R"("}],"store_revision":9})").items.at(0);
+    };
+    const StoreItem entry = itemWithKey("servers/odd");
+    cr_expect_lt(entry.value.size(), 64 * 1024);
+    std::string reason;
+    cr_expect_not(decodeInstance(entry, reason).has_value());
+    cr_expect_eq(itemWithKey("op/config").value.size(), 1'050'000);
+}
