Do not apply or report again an invalid entry that is rewritten

What nodes did: an entry of another writer that was written again and again, and named no instance each time, counted as a change each time. Every node logged it, logged and applied the instance list, and the readers sent the entry to their peers.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -141,7 +141,7 @@
     hooks.sendStatus = [this](const InstanceId &instance) { m_links->sendStatus(instance); };
     hooks.configurationChanged = [this] { configurationChanged(); };
     hooks.instancesChanged = [this] { instancesChanged(); };
-    hooks.isHeartbeat = m_protocol.isHeartbeat;
+    hooks.isHeartbeat = [this](const StoreItem &previous, const StoreItem &next) { return isImmaterialChange(previous, next); };
     hooks.eraChanged = [this](const char *what, const StoreEraChange &change) { storeEraChanged(what, change); };
     hooks.availabilityChanged = [this](const char *what, bool isAvailable) {
         if (isAvailable) {
@@ -518,6 +518,14 @@
                     + " routes, store " + toText(item.position())});
 }
 
+//! Whether an entry only counts on, or names no instance before and after the change.
+bool MeshCore::isImmaterialChange(const StoreItem &previous, const StoreItem &next) const
+{
+    std::string ignored;
+    const auto isInvalid = [&](const StoreItem &item) { return !m_protocol.decodeInstance(item, ignored); };
+    return m_protocol.isHeartbeat(previous, next) || (isInvalid(previous) && isInvalid(next));
+}
+
 void MeshCore::instancesChanged()
 {
     const auto &items = m_replication->instances().items();
@@ -539,12 +547,15 @@
     DecodedEntry &decoded = m_decodedEntries[key];
     if (decoded.revision < item.revision) {
         std::string reason;
-        decoded = {item.revision, m_protocol.decodeInstance(item, reason)};
-        if (!decoded.entry) {
-            reportInvalidEntry(key, reason);
-        } else {
+        decoded.revision = item.revision;
+        decoded.entry = m_protocol.decodeInstance(item, reason);
+        if (decoded.entry) {
+            reason.clear();
             decoded.entry->instance.peerAddress = {decoded.entry->instance.instance.value(), m_settings.peers.port};
+        } else if (reason != decoded.reason) {
+            reportInvalidEntry(key, reason);
         }
+        decoded.reason = std::move(reason);
     }
     return decoded.entry;
 }
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -102,6 +102,8 @@
     {
         Revision revision;
         std::optional<InstanceDirectory::Entry> entry;
+        //! Why there is no entry; an invalid item that is written again is reported once.
+        std::string reason;
     };
 
     void makeControllers();
@@ -133,6 +135,7 @@
     void storeEraChanged(const char *what, const StoreEraChange &change);
     void configurationChanged();
     void instancesChanged();
+    bool isImmaterialChange(const StoreItem &previous, const StoreItem &next) const;
     const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
     void decodeConfiguration(const std::string &key, const StoreItem &item);
     void reportInvalidEntry(const std::string &key, const std::string &reason);
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -35,6 +35,7 @@
 const std::string pathAcrossStop = "/long/4200";
 const std::string pathBeyondStop = "/long/20000";
 constexpr Duration timeoutAcrossStop = std::chrono::seconds(8);
+constexpr Duration oddEntryInterval = std::chrono::milliseconds(150);
 const std::string host = "world.example";
 const std::string drainedInstance = "outer-2";
 
@@ -110,23 +111,67 @@
     return m_store.listen();
 }
 
+nlohmann::json MeshEnvironment::instanceEntry(const std::string &id, const std::string &state) const
+{
+    const std::size_t index = indexOf(id);
+    const PlainBackend::Options &options = m_backends[index]->options();
+    return {{"service", options.service},
+            {"address", toText(options.address)},
+            {"zone", m_dataCentres[index]},
+            {"version", "v1"},
+            {"slots", slots},
+            {"state", state},
+            {"cold_remaining_s", 0},
+            {"sequence", 1},
+            {"born", 1000}};
+}
+
 void MeshEnvironment::publishInstance(const std::string &id, const std::string &state)
 {
-    for (std::size_t i = 0; i < m_backends.size(); ++i) {
-        const PlainBackend::Options &options = m_backends[i]->options();
-        if (options.id == id) {
-            const nlohmann::json entry = {{"service", options.service},
-                                          {"address", toText(options.address)},
-                                          {"zone", m_dataCentres[i]},
-                                          {"version", "v1"},
-                                          {"slots", slots},
-                                          {"state", state},
-                                          {"cold_remaining_s", 0},
-                                          {"sequence", 1},
-                                          {"born", 1000}};
-            m_store.put("servers/" + id, entry.dump());
-        }
+    m_store.put("servers/" + id, instanceEntry(id, state).dump());
+}
+
+//! Writes entries that name no instance: one that is odd in another way each round, one that alternates with a valid entry, one
+//! that is rewritten, and one of an unknown service at the address of a backend server.
+void MeshEnvironment::publishOddEntries(std::size_t round)
+{
+    const std::string valid = instanceEntry("spare-1", "ready").dump();
+    const auto with = [&valid](const std::string &field, const std::string &value) {
+        const auto begin = valid.find("\"" + field + "\":") + field.size() + 3;
+        const auto end = valid.find_first_of(",}", begin);
+        return valid.substr(0, begin) + value + valid.substr(end);
+    };
+    constexpr std::size_t depth = 20'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    const std::string large(300'000, 'a');
+    const std::string values[] = {deep,
+                                  with("version", deep),
+                                  with("slots", "1e300"),
+                                  with("slots", "18446744073709551615"),
+                                  with("slots", "true"),
+                                  with("born", "9223372036854775808"),
+                                  with("address", "\"127.0.0.16:99999\""),
+                                  with("address", "\"0.0.0.0:8501\""),
+                                  with("address", "\":8501\""),
+                                  with("zone", "\"\\r\\nX-Odd: 1\""),
+                                  with("zone", "\"\xff\""),
+                                  with("service", "\"\""),
+                                  with("state", "\"" + large + "\""),
+                                  "\"" + large,
+                                  "[]",
+                                  ""};
+    m_store.put("servers/odd", values[round % std::size(values)]);
+    if (round % std::size(values) == std::size(values) - 1) {
+        m_store.remove("servers/odd");
     }
+    m_store.put("servers/inner-2", round % 2 == 0 ? deep : instanceEntry("inner-2", "ready").dump());
+    m_store.put("servers/rewritten", "no JSON " + std::to_string(round));
+    nlohmann::json impostor = instanceEntry("outer-1", "ready");
+    impostor["service"] = "unknown";
+    impostor["born"] = 2000;
+    impostor["sequence"] = round + 1;
+    m_store.put("servers/impostor", impostor.dump());
+    after(oddEntryInterval, [this, round] { publishOddEntries(round + 1); });
 }
 
 void MeshEnvironment::publishRoutes(int version, const std::string &extraService)
@@ -213,6 +258,9 @@
             m_routedAt = steadyClock()();
         });
     }
+    if (has("odd")) {
+        publishOddEntries(0);
+    }
     if (has("history")) {
         after(firstEventDelay, [this] {
             m_store.put("servers/unreadable", "{\"service\":");
--- a/standins/meshenvironment.h
+++ b/standins/meshenvironment.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,7 +24,7 @@
     Duration length = std::chrono::seconds(8);
     double requestsPerSecond = 100;
     std::uint64_t seed = 1;
-    //! The changes and faults to cause, of: drain, route, down, history.
+    //! The changes and faults to cause, of: drain, route, down, history, odd.
     std::set<std::string> events;
     //! Instances to which callers do not send, since the test script stops or kills them.
     std::set<std::string> sparedInstances;
@@ -66,6 +67,8 @@
     void prepareStop();
     void waitForStop(const std::vector<StopCall> &calls);
     void scheduleEvents();
+    nlohmann::json instanceEntry(const std::string &id, const std::string &state) const;
+    void publishOddEntries(std::size_t round);
     void after(Duration delay, std::function<void()> action);
     int check();
     int checkRuns();
