Do not let an entry of an unknown service replace that of a backend server

What nodes did: of several entries with one address, the one that started last is used. An entry of another writer with the address of a living backend server, a later start and a service that the configuration does not name made that backend server unreachable for as long as the entry existed: no route led to it any more, and the node beside it refused what still arrived.

Change: an entry of a service to which no route leads is ignored if an entry of a routed service, or of the node's own, has the same address. It is decided again when a configuration is applied. Alone at its address, such an entry is still listed: its service may be routed later.

process.mesh_odd_entries failed before with "an entry of an unknown service replaces no other", and passes now.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -516,6 +516,9 @@
                 {},
                 "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
                     + " routes, store " + toText(item.position())});
+    if (m_replication->instances().hasContent()) {
+        instancesChanged();
+    }
 }
 
 //! Whether an entry only counts on, or names no instance before and after the change.
@@ -538,10 +541,31 @@
     for (auto decoded = m_decodedEntries.begin(); decoded != m_decodedEntries.end();) {
         decoded = items.count(decoded->first) == 0 ? m_decodedEntries.erase(decoded) : std::next(decoded);
     }
+    removeUnknownServices(entries);
     m_directory.update(entries, m_replication->instances().availableSince(), m_clock());
     applyInstances();
 }
 
+//! Removes the entries of services that the configuration does not name, where an entry of a service that it names has the same
+//! instance: the one that started last replaces the others.
+void MeshCore::removeUnknownServices(std::vector<InstanceDirectory::Entry> &entries) const
+{
+    std::set<ServiceName> known = {m_settings.service};
+    for (const ServiceName &service : m_routes->services()) {
+        known.insert(service);
+    }
+    std::set<InstanceId> instances;
+    for (const InstanceDirectory::Entry &entry : entries) {
+        if (known.count(entry.instance.service) != 0) {
+            instances.insert(entry.instance.instance);
+        }
+    }
+    const auto isReplaced = [&](const InstanceDirectory::Entry &entry) {
+        return known.count(entry.instance.service) == 0 && instances.count(entry.instance.instance) != 0;
+    };
+    entries.erase(std::remove_if(entries.begin(), entries.end(), isReplaced), entries.end());
+}
+
 const std::optional<InstanceDirectory::Entry> &MeshCore::decodeEntry(const std::string &key, const StoreItem &item)
 {
     DecodedEntry &decoded = m_decodedEntries[key];
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -135,6 +135,7 @@
     void storeEraChanged(const char *what, const StoreEraChange &change);
     void configurationChanged();
     void instancesChanged();
+    void removeUnknownServices(std::vector<InstanceDirectory::Entry> &entries) const;
     bool isImmaterialChange(const StoreItem &previous, const StoreItem &next) const;
     const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
     void decodeConfiguration(const std::string &key, const StoreItem &item);
--- a/tests/process/mesh_odd_entries.sh
+++ b/tests/process/mesh_odd_entries.sh
@@ -16,4 +16,5 @@
     check "$name logged an entry that was rewritten once" [ "$(grep -c 'servers/rewritten' "$work/node-$name.log")" -eq 1 ]
     check "$name does not quote odd entries" [ "$(wc -L <"$work/node-$name.log")" -lt 1000 ]
 done
+check "an entry of an unknown service replaces no other" bash -c "! grep -q '\"detail\":\"impostor\"' $work/node-outer-1.log"
 finish
