--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -119,6 +119,20 @@
     cr_assert_eq(decodeChanges("{\"events\":3}").status, StoreStatus::Failed);
 }
 
+Test(platform, an_era_that_cannot_be_read_counts_as_missing)
+{
+    HttpResponse response;
+    cr_assert(!storeEra(response));
+    for (const char *text : {"", "x", "-1", "3x", " 3", "1.5", "18446744073709551616"}) {
+        response = {};
+        response.headers.add("Store-Era", text);
+        cr_expect(!storeEra(response), "'%s'", text);
+    }
+    response = {};
+    response.headers.add("store-era", "3");
+    cr_assert(storeEra(response) == StoreEra(3));
+}
+
 Test(platform, maps_backend_responses_to_result_codes)
 {
     struct Case
