Key decoded store items by era and revision

MeshCore decodes an item again if its revision is higher than that of the item decoded before. After a restoration an item that is written again has a lower one, so that it was not decoded: the mirrors held the new version of the routes, and callers were served by the old one. An entry of a backend server kept its old state in the same way. The caches now compare positions.

Shown with real processes: the stand-in store keeps a copy, goes down, and comes back from it, with an era in all responses; the process test mesh_restored writes a version after it at a revision that was given out before, and counts the calls to the store.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -491,8 +491,8 @@
 void MeshCore::configurationChanged()
 {
     for (const auto &[key, item] : m_replication->configuration().items()) {
-        if (Revision &decoded = m_decodedConfigurations[key]; decoded < item.revision) {
-            decoded = item.revision;
+        if (StorePosition &decoded = m_decodedConfigurations[key]; decoded < item.position()) {
+            decoded = item.position();
             decodeConfiguration(key, item);
         }
     }
@@ -569,9 +569,9 @@
 const std::optional<InstanceDirectory::Entry> &MeshCore::decodeEntry(const std::string &key, const StoreItem &item)
 {
     DecodedEntry &decoded = m_decodedEntries[key];
-    if (decoded.revision < item.revision) {
+    if (decoded.position < item.position()) {
         std::string reason;
-        decoded.revision = item.revision;
+        decoded.position = item.position();
         decoded.entry = m_protocol.decodeInstance(item, reason);
         if (decoded.entry) {
             reason.clear();
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -100,7 +100,7 @@
     //! An instance entry of the store; empty if the item cannot be decoded.
     struct DecodedEntry
     {
-        Revision revision;
+        StorePosition position;
         std::optional<InstanceDirectory::Entry> entry;
         //! Why there is no entry; an invalid item that is written again is reported once.
         std::string reason;
@@ -174,8 +174,8 @@
     std::unique_ptr<StoreReplication> m_replication;
     //! Decoded entries by key, so that only changed entries are decoded again.
     std::unordered_map<std::string, DecodedEntry> m_decodedEntries;
-    //! The latest revision of each configuration item that was decoded.
-    std::unordered_map<std::string, Revision> m_decodedConfigurations;
+    //! The latest position of each configuration item that was decoded.
+    std::unordered_map<std::string, StorePosition> m_decodedConfigurations;
     MeshCounters m_counters;
 };
 
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -22,6 +22,15 @@
 //! Delay of the first change after the start of the load.
 constexpr Duration firstEventDelay = std::chrono::seconds(1);
 constexpr Duration outageDuration = std::chrono::seconds(2);
+//! When the store is copied, goes down and is restored, and when the routes change afterwards.
+constexpr Duration copyDelay = std::chrono::milliseconds(500);
+constexpr Duration restorationOutageDelay = std::chrono::milliseconds(2500);
+constexpr Duration restorationDelay = std::chrono::milliseconds(3000);
+constexpr Duration routeAfterRestorationDelay = std::chrono::milliseconds(4500);
+//! Writes that a restoration undoes, so that the revisions go back.
+constexpr int lostWrites = 100;
+//! Calls of a node to the store per second: a few for each of two prefixes, and some more during faults.
+constexpr double maximumStoreCallsPerNode = 12;
 //! Minimum fraction of requests that must be served in spite of the faults.
 constexpr double minimumServedShare = 0.9;
 constexpr Duration longRouteTimeout = std::chrono::seconds(10);
@@ -234,6 +243,7 @@
             std::printf("the nodes are ready\n");
             std::fflush(stdout);
             m_loadStart = steadyClock()();
+            m_storeCallsBeforeLoad = m_store.requestCount();
             scheduleEvents();
             if (!m_options.stoppedInstance.empty()) {
                 prepareStop();
@@ -267,12 +277,37 @@
             m_store.discardHistory();
         });
     }
+    if (has("restored")) {
+        scheduleRestoration();
+    }
     if (has("down")) {
         after(firstEventDelay + outageDuration, [this] { m_store.setDown(true); });
         after(firstEventDelay + outageDuration + outageDuration, [this] { m_store.setDown(false); });
     }
 }
 
+//! The store loses a version of the routes, which is written again, and the next one has a lower revision than the lost one had.
+void MeshEnvironment::scheduleRestoration()
+{
+    after(copyDelay, [this] { m_store.copy(); });
+    after(firstEventDelay, [this] {
+        for (int i = 0; i < lostWrites; ++i) {
+            m_store.put("other/" + std::to_string(i), "x");
+        }
+        publishRoutes(2, "outer");
+    });
+    after(restorationOutageDelay, [this] { m_store.setDown(true); });
+    after(restorationDelay, [this] {
+        m_store.restore();
+        m_store.setDown(false);
+        publishRoutes(2, "outer");
+    });
+    after(routeAfterRestorationDelay, [this] {
+        publishRoutes(3, "spare");
+        m_routedAt = steadyClock()();
+    });
+}
+
 void MeshEnvironment::sendNext()
 {
     if (steadyClock()() - m_loadStart >= m_options.length) {
@@ -407,7 +442,7 @@
 
 int MeshEnvironment::check()
 {
-    const int violations = checkRuns() + checkDrain() + checkRoute() + checkStop();
+    const int violations = checkRuns() + checkDrain() + checkRoute() + checkStop() + checkStoreCalls();
     std::map<std::string, int> resultCounts;
     int served = 0;
     for (const auto &sent : m_sentRequests) {
@@ -512,6 +547,20 @@
     return violations;
 }
 
+//! Checks that no node calls the store in a loop, whatever state it is in.
+int MeshEnvironment::checkStoreCalls()
+{
+    int violations = 0;
+    const std::uint64_t calls = m_store.requestCount() - m_storeCallsBeforeLoad;
+    const double maximumCalls =
+        maximumStoreCallsPerNode * static_cast<double>(m_backends.size()) * toSeconds(steadyClock()() - m_loadStart);
+    std::printf("%llu calls to the store\n", static_cast<unsigned long long>(calls));
+    if (static_cast<double>(calls) > maximumCalls) {
+        reportViolation(violations, std::to_string(calls) + " calls to the store");
+    }
+    return violations;
+}
+
 //! Checks that the changed route leads only to the new service, and that the new service was not used before the change.
 int MeshEnvironment::checkRoute()
 {
--- a/standins/meshenvironment.h
+++ b/standins/meshenvironment.h
@@ -24,7 +24,7 @@
     Duration length = std::chrono::seconds(8);
     double requestsPerSecond = 100;
     std::uint64_t seed = 1;
-    //! The changes and faults to cause, of: drain, route, down, history, odd.
+    //! The changes and faults to cause, of: drain, route, down, history, odd, restored.
     std::set<std::string> events;
     //! Instances to which callers do not send, since the test script stops or kills them.
     std::set<std::string> sparedInstances;
@@ -69,6 +69,7 @@
     void scheduleEvents();
     nlohmann::json instanceEntry(const std::string &id, const std::string &state) const;
     void publishOddEntries(std::size_t round);
+    void scheduleRestoration();
     void after(Duration delay, std::function<void()> action);
     int check();
     int checkRuns();
@@ -76,6 +77,7 @@
     int checkStop();
     int checkDrain();
     int checkRoute();
+    int checkStoreCalls();
     void reportViolation(int &violations, const std::string &description) const;
 
     boost::asio::io_context &m_context;
@@ -96,6 +98,7 @@
     TimePoint m_loadStart;
     TimePoint m_drainedAt;
     TimePoint m_routedAt;
+    std::uint64_t m_storeCallsBeforeLoad = 0;
     int m_outstanding = 0;
 };
 
--- a/standins/standinstore.cpp
+++ b/standins/standinstore.cpp
@@ -44,11 +44,6 @@
     return text.rfind(prefix, 0) == 0;
 }
 
-HttpResponse jsonResponse(int status, std::string body)
-{
-    return textResponse(status, "application/json", std::move(body));
-}
-
 nlohmann::json itemOf(const std::string &key, const std::string &value, std::uint64_t revision)
 {
     return {{"key", key}, {"value", base64(value)}, {"revision", revision}, {"created", revision}, {"lease", 0}};
@@ -69,38 +64,66 @@
 
 void StandinStore::put(const std::string &key, const std::string &value)
 {
-    m_items[key] = {value, ++m_revision};
-    recordChange({m_revision, key, value, false});
+    m_state.items[key] = {value, ++m_state.revision};
+    recordChange({m_state.revision, key, value, false});
 }
 
 void StandinStore::remove(const std::string &key)
 {
-    m_items.erase(key);
-    recordChange({++m_revision, key, {}, true});
+    m_state.items.erase(key);
+    recordChange({++m_state.revision, key, {}, true});
 }
 
 void StandinStore::setDown(bool isDown)
 {
     m_isDown = isDown;
-    if (!isDown) {
-        return;
+    if (isDown) {
+        failWatchers();
     }
+}
+
+void StandinStore::copy()
+{
+    m_copy = m_state;
+}
+
+void StandinStore::restore()
+{
+    m_state = m_copy;
+    ++m_era;
+    failWatchers();
+}
+
+std::uint64_t StandinStore::requestCount() const
+{
+    return m_requestCount;
+}
+
+void StandinStore::respond(HttpExchange &exchange, int status, std::string body) const
+{
+    HttpResponse response = textResponse(status, "application/json", std::move(body));
+    response.headers.add("Store-Era", std::to_string(m_era));
+    exchange.respond(std::move(response));
+}
+
+void StandinStore::failWatchers()
+{
     for (const Watcher &watcher : m_watchers) {
         watcher.timer->cancel();
-        watcher.exchange->respond(jsonResponse(503, "{}"));
+        respond(*watcher.exchange, 503, "{}");
     }
     m_watchers.clear();
 }
 
 void StandinStore::discardHistory()
 {
-    m_history.clear();
-    m_oldestRevision = m_revision;
+    m_state.history.clear();
+    m_state.oldestRevision = m_state.revision;
 }
 
 void StandinStore::recordChange(Change change)
 {
-    m_history.push_back(std::move(change));
+    m_state.history.push_back(std::move(change));
     for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
         const std::string changes = changesAfter(watcher->prefix, watcher->after, false);
         if (changes.empty()) {
@@ -108,23 +131,24 @@
             continue;
         }
         watcher->timer->cancel();
-        watcher->exchange->respond(jsonResponse(200, changes));
+        respond(*watcher->exchange, 200, changes);
         watcher = m_watchers.erase(watcher);
     }
 }
 
 void StandinStore::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
+    ++m_requestCount;
     const std::string target = exchange->request().target;
     const std::string query = target.substr(target.find('?') + 1);
     if (m_isDown) {
-        exchange->respond(jsonResponse(503, "{}"));
+        respond(*exchange, 503, "{}");
     } else if (startsWith(target, "/kv-range?")) {
         handleRange(*exchange, query);
     } else if (startsWith(target, "/kv-watch?")) {
         handleWatch(exchange, query);
     } else {
-        exchange->respond(jsonResponse(404, "{}"));
+        respond(*exchange, 404, "{}");
     }
 }
 
@@ -134,7 +158,7 @@
     const std::string after = queryValue(query, "after");
     nlohmann::json items = nlohmann::json::array();
     bool hasMore = false;
-    for (auto item = m_items.lower_bound(prefix); item != m_items.end() && startsWith(item->first, prefix); ++item) {
+    for (auto item = m_state.items.lower_bound(prefix); item != m_state.items.end() && startsWith(item->first, prefix); ++item) {
         if (item->first <= after) {
             continue;
         }
@@ -144,27 +168,27 @@
         }
         items.push_back(itemOf(item->first, item->second.value, item->second.revision));
     }
-    const nlohmann::json page = {{"items", std::move(items)}, {"has_more", hasMore}, {"store_revision", m_revision}};
-    exchange.respond(jsonResponse(200, page.dump()));
+    const nlohmann::json page = {{"items", std::move(items)}, {"has_more", hasMore}, {"store_revision", m_state.revision}};
+    respond(exchange, 200, page.dump());
 }
 
 void StandinStore::handleWatch(const std::shared_ptr<HttpExchange> &exchange, const std::string &query)
 {
     const std::string prefix = queryValue(query, "prefix");
     const std::uint64_t after = queryNumber(query, "after");
-    if (after < m_oldestRevision) {
-        exchange->respond(jsonResponse(410, "{}"));
+    if (after < m_state.oldestRevision || after > m_state.revision) {
+        respond(*exchange, 410, "{}");
         return;
     }
     if (const std::string changes = changesAfter(prefix, after, false); !changes.empty()) {
-        exchange->respond(jsonResponse(200, changes));
+        respond(*exchange, 200, changes);
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(queryNumber(query, "wait_ms")));
     const auto watcher = m_watchers.insert(m_watchers.end(), {prefix, after, exchange, timer});
     timer->async_wait([this, watcher](const boost::system::error_code &error) {
         if (!error) {
-            watcher->exchange->respond(jsonResponse(200, changesAfter(watcher->prefix, watcher->after, true)));
+            respond(*watcher->exchange, 200, changesAfter(watcher->prefix, watcher->after, true));
             m_watchers.erase(watcher);
         }
     });
@@ -173,7 +197,7 @@
 std::string StandinStore::changesAfter(const std::string &prefix, std::uint64_t after, bool includesEmpty) const
 {
     nlohmann::json events = nlohmann::json::array();
-    for (const Change &change : m_history) {
+    for (const Change &change : m_state.history) {
         if (change.revision <= after || !startsWith(change.key, prefix)) {
             continue;
         }
@@ -183,7 +207,7 @@
     if (events.empty() && !includesEmpty) {
         return {};
     }
-    const nlohmann::json changes = {{"events", std::move(events)}, {"store_revision", m_revision}};
+    const nlohmann::json changes = {{"events", std::move(events)}, {"store_revision", m_state.revision}};
     return changes.dump();
 }
 
--- a/standins/standinstore.h
+++ b/standins/standinstore.h
@@ -24,6 +24,13 @@
     void setDown(bool isDown);
     //! Discards the change history. Watches from an older revision get status 410.
     void discardHistory();
+    //! Keeps a copy of the items and of their history.
+    void copy();
+    //! Goes back to the latest copy: what was written since is lost, revisions are given out again, and the era rises by one. Open
+    //! watches fail. Precondition: there is a copy.
+    void restore();
+    //! The number of requests that have arrived.
+    std::uint64_t requestCount() const;
 
 private:
     struct Change
@@ -46,6 +53,15 @@
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
 
+    //! All that a copy holds.
+    struct State
+    {
+        std::map<std::string, Item> items;
+        std::list<Change> history;
+        std::uint64_t revision = 1;
+        std::uint64_t oldestRevision = 0;
+    };
+
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void handleRange(HttpExchange &exchange, const std::string &query);
     void handleWatch(const std::shared_ptr<HttpExchange> &exchange, const std::string &query);
@@ -53,14 +69,17 @@
     //! `includesEmpty` is set.
     std::string changesAfter(const std::string &prefix, std::uint64_t after, bool includesEmpty) const;
     void recordChange(Change change);
+    void failWatchers();
+    //! Responds with a JSON document and the header fields of all responses.
+    void respond(HttpExchange &exchange, int status, std::string body) const;
 
     boost::asio::io_context &m_context;
     HttpServer m_server;
-    std::map<std::string, Item> m_items;
-    std::list<Change> m_history;
+    State m_state;
+    State m_copy;
     std::list<Watcher> m_watchers;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_oldestRevision = 0;
+    std::uint64_t m_era = 1;
+    std::uint64_t m_requestCount = 0;
     bool m_isDown = false;
 };
 
