--- a/tests/process/mesh_restored.sh
+++ b/tests/process/mesh_restored.sh
@@ -14,6 +14,7 @@
 }
 check "all nodes have the last version" until_true 9 is_in_force
 finish_mesh
+grep -h '"store restored from a copy"' "$work/node-outer-1.log"
 check "every request was answered" bash -c "! grep -qE 'no answer|cut' $work/environment.out"
 for name in "${mesh_names[@]}"; do
     check "the restoration was logged by $name" grep -q '"store restored from a copy"' "$work/node-$name.log"
