Decode the limits of clients from the platform's configuration

The configuration says how large a client's header and body may be and how long it may take or stay idle. None of it was read. The limits are decoded into ClientLimits and carried with the routes that they came with. A limit that is missing, not a number or not positive keeps its default, and a huge one is bounded, so that an odd limit does not cost the routes.

New test: platform.limits_that_are_missing_or_odd_do_not_make_a_configuration_unusable.

--- a/src/chervilpaddle/contract/routetable.cpp
+++ b/src/chervilpaddle/contract/routetable.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-RouteTable::RouteTable(Revision revision, std::vector<Route> routes, std::string document)
+RouteTable::RouteTable(Revision revision, std::vector<Route> routes, std::string document, ClientLimits limits)
     : m_revision(revision)
     , m_document(std::move(document))
     , m_routes(std::move(routes))
+    , m_limits(limits)
 {
     for (std::size_t index = 0; index < m_routes.size(); ++index) {
         const Route &route = m_routes[index];
@@ -60,6 +61,11 @@
     return m_routes;
 }
 
+const ClientLimits &RouteTable::limits() const
+{
+    return m_limits;
+}
+
 std::vector<ServiceName> RouteTable::services() const
 {
     std::set<ServiceName> services;
--- a/src/chervilpaddle/contract/routetable.h
+++ b/src/chervilpaddle/contract/routetable.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
+#include <chervilpaddle/contract/clientlimits.h>
 
 #include <memory>
 #include <string>
@@ -49,7 +50,7 @@
     //! An empty table of revision zero.
     RouteTable() = default;
     //! Of several routes with the same host and prefix the first one is used. `document` is the source text, kept to serve peers.
-    RouteTable(Revision revision, std::vector<Route> routes, std::string document);
+    RouteTable(Revision revision, std::vector<Route> routes, std::string document, ClientLimits limits = {});
 
     //! Returns the route with the longest matching path prefix, or null. `host` may include a port, `target` a query.
     //! The cost depends on the number of path segments, not on the number of routes.
@@ -58,6 +59,7 @@
     Revision revision() const;
     const std::string &document() const;
     const std::vector<Route> &routes() const;
+    const ClientLimits &limits() const;
     //! The services that are targets of any route.
     std::vector<ServiceName> services() const;
 
@@ -65,6 +67,7 @@
     Revision m_revision;
     std::string m_document;
     std::vector<Route> m_routes;
+    ClientLimits m_limits;
     //! Indexes into m_routes, by the concatenation of lower-case host and prefix.
     std::unordered_map<std::string, std::size_t> m_indexes;
 };
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -61,6 +61,55 @@
     cr_assert_not(table->match("h.example", "/b/")->idempotent);
 }
 
+Test(platform, limits_that_are_missing_or_odd_do_not_make_a_configuration_unusable)
+{
+    struct Case
+    {
+        std::string limits;
+        double idleSeconds;
+        double headerSeconds;
+        std::size_t headerBytes;
+        std::size_t bodyBytes;
+    };
+    const ClientLimits defaults;
+    const double idle = toSeconds(defaults.idleTimeout);
+    const double header = toSeconds(defaults.headerTimeout);
+    const Case cases[] = {
+        {R"("limits":{"max_header_bytes":32768,"max_body_bytes":67108864,"header_timeout_s":3.5,"idle_timeout_s":150})",
+         150,
+         3.5,
+         32768,
+         67108864},
+        {R"("limits":{})", idle, header, defaults.headerBytes, defaults.bodyBytes},
+        {R"("limits":{"idle_timeout_s":0.25})", 0.25, header, defaults.headerBytes, defaults.bodyBytes},
+        {R"("limits":{"idle_timeout_s":1e300,"header_timeout_s":1e300})", 86400, 86400, defaults.headerBytes, defaults.bodyBytes},
+        {R"("limits":{"max_header_bytes":1e300,"max_body_bytes":18446744073709551615})", idle, header, 1024 * mebibyte, 1024 * mebibyte},
+        {R"("limits":{"idle_timeout_s":-1,"header_timeout_s":0,"max_header_bytes":-5,"max_body_bytes":0})",
+         idle,
+         header,
+         defaults.headerBytes,
+         defaults.bodyBytes},
+        {R"("limits":{"idle_timeout_s":"60","header_timeout_s":null,"max_header_bytes":[1],"max_body_bytes":true})",
+         idle,
+         header,
+         defaults.headerBytes,
+         defaults.bodyBytes},
+        {R"("limits":[60])", idle, header, defaults.headerBytes, defaults.bodyBytes},
+        {R"("limits":"none")", idle, header, defaults.headerBytes, defaults.bodyBytes},
+        {R"("other":{})", idle, header, defaults.headerBytes, defaults.bodyBytes},
+    };
+    for (const Case &testCase : cases) {
+        std::string reason;
+        const std::string text = replaced(validConfiguration, R"("limits":{})", testCase.limits);
+        const auto table = decodeRoutes({"op/config", text, Revision(5)}, reason);
+        cr_assert(table.has_value(), "%s: %s", testCase.limits.c_str(), reason.c_str());
+        cr_expect_eq(table->limits().idleTimeout, fromSeconds(testCase.idleSeconds), "%s", testCase.limits.c_str());
+        cr_expect_eq(table->limits().headerTimeout, fromSeconds(testCase.headerSeconds), "%s", testCase.limits.c_str());
+        cr_expect_eq(table->limits().headerBytes, testCase.headerBytes, "%s", testCase.limits.c_str());
+        cr_expect_eq(table->limits().bodyBytes, testCase.bodyBytes, "%s", testCase.limits.c_str());
+    }
+}
+
 Test(platform, rejects_an_invalid_configuration)
 {
     const std::string valid = validConfiguration;
