Leave connections idle for as long as the configuration allows clients

Cause: the idle timeout was fixed when the server started.

Change: HttpServer takes limits that change while it runs; the node sets those of each configuration that it applies. They only make the built-in ones wider, up to one hour. HttpLimitsInForce keeps those that were replaced: a connection stays open for as long as any limit allows that has been in force since its client was last told one, so that a shorter limit does not close it early and a longer one applies to it at once. Ruled out: setting the timer anew at each change, as a client that was told the longer time still relies on it.

"configuration applied" logs the limits.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -49,6 +49,13 @@
     return options;
 }
 
+std::string toText(const ClientLimits &limits)
+{
+    const auto milliseconds = [](Duration duration) { return std::to_string(static_cast<std::int64_t>(toMilliseconds(duration))) + " ms"; };
+    return "limits of clients: header " + std::to_string(limits.headerBytes) + " bytes in " + milliseconds(limits.headerTimeout) + ", body "
+        + std::to_string(limits.bodyBytes) + " bytes, idle " + milliseconds(limits.idleTimeout);
+}
+
 //! Inverts the steps of the route, of which zero is the highest priority: admission prefers higher values.
 Priority admissionPriority(const Route &route)
 {
@@ -112,6 +119,11 @@
                                            replicationHooks());
 }
 
+void MeshCore::onClientLimits(std::function<void(const ClientLimits &)> handler)
+{
+    m_clientLimitsHandler = std::move(handler);
+}
+
 std::error_code MeshCore::start()
 {
     if (const std::error_code error = m_transport->listen(m_settings.peers); error) {
@@ -515,7 +527,10 @@
                 ResultCode::Success,
                 {},
                 "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
-                    + " routes, store " + toText(item.position())});
+                    + " routes, store " + toText(item.position()) + ", " + toText(m_routes->limits())});
+    if (m_clientLimitsHandler) {
+        m_clientLimitsHandler(m_routes->limits());
+    }
     if (m_replication->instances().hasContent()) {
         instancesChanged();
     }
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -49,6 +49,8 @@
 public:
     MeshCore(boost::asio::io_context &context, const NodeSettings &settings, const PlatformProtocol &protocol, EventLog &log);
 
+    //! Sets a handler for the limits of each configuration that is applied. Must be called before start().
+    void onClientLimits(std::function<void(const ClientLimits &)> handler);
     //! Listens for peers and starts reading the platform's store. Errors: AddressInUse.
     std::error_code start();
     //! Handles a request of a caller or of the backend server beside this node.
@@ -176,6 +178,7 @@
     std::unordered_map<std::string, DecodedEntry> m_decodedEntries;
     //! The latest position of each configuration item that was decoded.
     std::unordered_map<std::string, StorePosition> m_decodedConfigurations;
+    std::function<void(const ClientLimits &)> m_clientLimitsHandler;
     MeshCounters m_counters;
 };
 
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -56,6 +56,7 @@
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
     {
+        m_core.onClientLimits([this](const ClientLimits &allowed) { m_callers.setLimits(widened({}, allowed)); });
     }
 
     std::error_code run()
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -33,8 +33,6 @@
 constexpr auto lingerTime = std::chrono::seconds(2);
 constexpr std::size_t maxDiscardedBytes = 2 * mebibyte;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-//! Time from the end of the announced idle time until an idle connection is closed.
-constexpr auto idleCloseMargin = std::chrono::seconds(10);
 
 bool mayHaveContent(http::status status)
 {
@@ -44,9 +42,28 @@
 
 class Session;
 
+TimePoint currentTime()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
 //! State shared by all connections of a server.
 struct ServerState
 {
+    HttpLimits currentLimits() const
+    {
+        const std::lock_guard lock(limitsMutex);
+        return limits.current();
+    }
+    HttpLimits widestLimitsSince(TimePoint since) const
+    {
+        const std::lock_guard lock(limitsMutex);
+        return limits.widestSince(since);
+    }
+
+    //! Guards `limits`.
+    mutable std::mutex limitsMutex;
+    HttpLimitsInForce limits{HttpLimits()};
     //! Guards `sessions`, which holds the connections that have been started.
     std::mutex sessionsMutex;
     std::map<Session *, std::weak_ptr<Session>> sessions;
@@ -191,13 +208,27 @@
         }
         enter(ConnectionPhase::Idle);
         m_openRequest = RequestId();
-        m_idleTimer.expires_after(m_state->options.idleTimeout);
-        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) { closeUnlessRequested(CloseReason::IdleTimeout); }));
+        m_idleSince = currentTime();
+        waitForIdleTimeout();
         m_stream.socket().async_wait(tcp::socket::wait_read, unlessSuperseded([this](beast::error_code error) {
                                          error ? close(CloseReason::ReadError, error) : readHeader();
                                      }));
     }
 
+    //! The timeout can become longer while the connection is idle.
+    void waitForIdleTimeout()
+    {
+        m_idleTimer.expires_at(idleDeadline());
+        m_idleTimer.async_wait(unlessSuperseded([this](beast::error_code /*error*/) {
+            currentTime() < idleDeadline() ? waitForIdleTimeout() : closeUnlessRequested(CloseReason::IdleTimeout);
+        }));
+    }
+
+    TimePoint idleDeadline() const
+    {
+        return m_idleSince + m_state->widestLimitsSince(m_idleTimeAnnouncedAt).idleTimeout;
+    }
+
     //! A request that has arrived is served, though it has not been noticed yet: the wait for input is about to end.
     void closeUnlessRequested(CloseReason reason)
     {
@@ -368,7 +399,8 @@
             m_announcedReason = CloseReason::LastResponse;
         }
         m_response->keep_alive(!m_announcedReason);
-        if (const auto idleTime = announcedIdleTime(m_state->options.idleTimeout); !m_announcedReason && idleTime.count() > 0) {
+        m_idleTimeAnnouncedAt = currentTime();
+        if (const auto idleTime = announcedIdleTime(m_state->currentLimits().idleTimeout); !m_announcedReason && idleTime.count() > 0) {
             m_response->set(http::field::keep_alive, "timeout=" + std::to_string(idleTime.count()));
         }
         m_response->prepare_payload();
@@ -447,6 +479,9 @@
     std::function<void()> m_disconnectHandler;
     const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
     std::chrono::steady_clock::time_point m_lastRequestAt = m_openedAt;
+    TimePoint m_idleSince;
+    //! When the client was last told how long it may leave the connection idle, or the connection was opened.
+    TimePoint m_idleTimeAnnouncedAt = currentTime();
     //! Why the response that is being sent announces the close; empty if the connection stays open.
     std::optional<CloseReason> m_announcedReason;
     RequestId m_openRequest;
@@ -530,6 +565,7 @@
         , m_acceptTimer(*m_contexts.front())
         , m_state(std::make_shared<ServerState>())
     {
+        m_state->limits = HttpLimitsInForce(options.limits);
         m_state->options = std::move(options);
         m_state->handler = std::move(handler);
     }
@@ -571,6 +607,12 @@
         }
     }
 
+    void setLimits(const HttpLimits &limits)
+    {
+        const std::lock_guard lock(m_state->limitsMutex);
+        m_state->limits.set(limits, currentTime());
+    }
+
     bool hasConnections() const
     {
         return m_state->connections > 0;
@@ -661,11 +703,6 @@
     std::shared_ptr<ServerState> m_state;
 };
 
-std::chrono::seconds announcedIdleTime(std::chrono::milliseconds idleTimeout)
-{
-    return std::max(std::chrono::seconds::zero(), std::chrono::duration_cast<std::chrono::seconds>(idleTimeout - idleCloseMargin));
-}
-
 HttpServer::HttpServer(std::vector<boost::asio::io_context *> contexts, Options options, Handler handler)
     : m_impl(std::make_shared<Impl>(std::move(contexts), std::move(options), std::move(handler)))
 {
@@ -681,6 +718,11 @@
     return m_impl->listen();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
 void HttpServer::stopAccepting()
 {
     m_impl->stopAccepting();
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/units.h>
 #include <chervilpaddle/controllers/instancelist.h>
 #include <chervilpaddle/transport/closedconnection.h>
+#include <chervilpaddle/transport/httplimits.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
@@ -33,11 +34,6 @@
     virtual void setRequestId(const RequestId &request) = 0;
 };
 
-//! Returns the idle time in whole seconds that responses announce in Keep-Alive: short enough that a request sent within it arrives
-//! before a server with this idle timeout closes the connection, also if either of them or the network was held up. Zero: none is
-//! announced, as the timeout leaves no time. Thread-safe.
-std::chrono::seconds announcedIdleTime(std::chrono::milliseconds idleTimeout);
-
 //! HTTP/1.1 server based on Boost.Beast. Limits the size of headers and bodies, the time to receive a request, the
 //! number of connections and the total memory for bodies. Connections are distributed over the given contexts; each
 //! context must be run by a single thread.
@@ -50,8 +46,8 @@
         std::size_t maxBodyBytes = 0;
         std::size_t maxConnections = 1024;
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
-        //! Connections without a request for this long are closed. Clients are told a shorter time, see announcedIdleTime().
-        std::chrono::milliseconds idleTimeout = std::chrono::seconds(75);
+        //! See setLimits(). Clients are told a shorter idle time, see announcedIdleTime().
+        HttpLimits limits{};
         //! Called once for each connection that has ended, on the connection's thread; not for those that are still open when
         //! their context stops.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
@@ -65,6 +61,8 @@
 
     //! Starts to accept connections. Errors: AddressInUse.
     std::error_code listen();
+    //! Changes the limits. Open connections keep those that they were told where these are wider. May be called from any thread.
+    void setLimits(const HttpLimits &limits);
     //! Stops accepting connections; open ones are kept. May be called from any thread.
     void stopAccepting();
     //! Closes each connection after its next response. May be called from any thread.
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -34,6 +34,8 @@
 //! Minimum fraction of requests that must be served in spite of the faults.
 constexpr double minimumServedShare = 0.9;
 constexpr Duration longRouteTimeout = std::chrono::seconds(10);
+//! How long the configuration allows clients to leave a connection idle.
+constexpr Duration clientIdleTimeout = std::chrono::seconds(150);
 //! The stopped instance is stopped this long after the start of the load.
 constexpr Duration stopDelay = std::chrono::seconds(1);
 constexpr Duration probeInterval = std::chrono::milliseconds(5);
@@ -205,7 +207,10 @@
                                   rule("inner", "idempotent", "/inner/", "inner", 2)};
     const nlohmann::json listeners = nlohmann::json::array({{{"host", host}, {"rules", rules}}});
     const nlohmann::json clusters = {{{"name", "outer"}}, {{"name", "inner"}}, {{"name", "spare"}}};
-    const nlohmann::json document = {{"version", version}, {"limits", {}}, {"listeners", listeners}, {"clusters", clusters}};
+    const nlohmann::json document = {{"version", version},
+                                     {"limits", {{"idle_timeout_s", toSeconds(clientIdleTimeout)}}},
+                                     {"listeners", listeners},
+                                     {"clusters", clusters}};
     m_store.put("op/config", document.dump());
 }
 
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -103,7 +103,7 @@
         HttpServer::Options options;
         options.address = m_address;
         options.maxBodyBytes = 64 * kibibyte;
-        options.idleTimeout = idleTimeout;
+        options.limits.idleTimeout = idleTimeout;
         options.connectionClosed = [this](const ClosedConnection &closed) {
             const std::lock_guard lock(m_mutex);
             m_closed.push_back(closed);
@@ -302,6 +302,31 @@
     }
 }
 
+Test(httpserver, a_change_of_the_limits_does_not_shorten_the_idle_time_that_a_client_may_rely_on)
+{
+    struct Case
+    {
+        const char *description;
+        std::chrono::milliseconds before;
+        std::chrono::milliseconds after;
+    };
+    constexpr std::chrono::milliseconds shortTimeout(200);
+    const Case cases[] = {{"made longer while the connection is idle", shortTimeout, std::chrono::seconds(75)},
+                          {"made shorter while the connection is idle", std::chrono::seconds(75), shortTimeout}};
+    for (const Case &testCase : cases) {
+        CountingServer server(testCase.before);
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        statusLineOf(socket, plainRequest);
+        HttpLimits limits;
+        limits.idleTimeout = testCase.after;
+        server.server().setLimits(limits);
+        std::this_thread::sleep_for(3 * shortTimeout);
+        const std::string statusLine = statusLineOf(socket, plainRequest);
+        cr_expect(statusLine == "HTTP/1.1 200 OK", "%s: '%s'", testCase.description, statusLine.c_str());
+    }
+}
+
 Test(httpserver, a_reset_of_an_idle_connection_is_not_reported_as_a_request_without_response)
 {
     CountingServer server;
