Take headers of the size and for the time that the configuration allows

What callers could see: 400 for a header over 16 KiB, and a closed connection for a header that takes over 10 s, where the configuration allows more; and a closed connection where header and body together take over 10 s.

Cause: both limits were fixed, and one time covered header and body.

Change: both limits follow the configuration within bounds (64 KiB, one minute), and never below the built-in ones. The body has a time of its own, which begins when the header is complete.

--- a/src/chervilpaddle/transport/httplimits.cpp
+++ b/src/chervilpaddle/transport/httplimits.cpp
@@ -9,18 +9,25 @@
 //! Time from the end of the announced idle time until an idle connection is closed.
 constexpr Duration idleCloseMargin = std::chrono::seconds(10);
 constexpr Duration maxIdleTimeout = std::chrono::hours(1);
+//! A limit of header sizes may not count the request line.
+constexpr std::size_t requestLineBytes = 8 * kibibyte;
+constexpr std::size_t maxWidenedHeaderBytes = 64 * kibibyte;
+static_assert(maxWidenedHeaderBytes <= maxReadAheadBytes);
+//! Time for a header that was sent in time to arrive.
+constexpr Duration headerMargin = std::chrono::seconds(2);
+constexpr Duration maxHeaderTimeout = std::chrono::minutes(1);
 //! Clients learn of a configuration earlier or later than the server.
 constexpr Duration configurationLag = std::chrono::seconds(10);
 constexpr std::size_t maxReplacedLimits = 16;
 
 HttpLimits widestOf(const HttpLimits &a, const HttpLimits &b)
 {
-    return {std::max(a.idleTimeout, b.idleTimeout)};
+    return {std::max(a.headerBytes, b.headerBytes), std::max(a.headerTimeout, b.headerTimeout), std::max(a.idleTimeout, b.idleTimeout)};
 }
 
 bool covers(const HttpLimits &outer, const HttpLimits &inner)
 {
-    return outer.idleTimeout >= inner.idleTimeout;
+    return outer.headerBytes >= inner.headerBytes && outer.headerTimeout >= inner.headerTimeout && outer.idleTimeout >= inner.idleTimeout;
 }
 
 } // namespace
@@ -32,7 +39,11 @@
 
 HttpLimits widened(HttpLimits limits, const ClientLimits &allowed)
 {
+    const std::size_t headerBytes = std::min(allowed.headerBytes, maxWidenedHeaderBytes - requestLineBytes) + requestLineBytes;
+    const Duration headerTimeout = std::min(allowed.headerTimeout, maxHeaderTimeout) + headerMargin;
     const Duration idleTimeout = std::min(allowed.idleTimeout, maxIdleTimeout) + idleCloseMargin;
+    limits.headerBytes = std::max(limits.headerBytes, headerBytes);
+    limits.headerTimeout = std::max(limits.headerTimeout, headerTimeout);
     limits.idleTimeout = std::max(limits.idleTimeout, idleTimeout);
     return limits;
 }
--- a/src/chervilpaddle/transport/httplimits.h
+++ b/src/chervilpaddle/transport/httplimits.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/contract/clientlimits.h>
+#include <chervilpaddle/transport/httpmessage.h>
 
 #include <vector>
 
@@ -10,6 +11,10 @@
 //! The limits that an HTTP server imposes on its clients.
 struct HttpLimits
 {
+    //! Size of the request line and all header fields.
+    std::size_t headerBytes = maxHeaderBytes;
+    //! Time from the first byte of a request until its header is complete.
+    Duration headerTimeout = std::chrono::seconds(10);
     //! Connections without a request for this long are closed.
     Duration idleTimeout = std::chrono::seconds(75);
 };
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -25,7 +25,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr auto receiveTimeout = std::chrono::seconds(10);
+constexpr auto bodyTimeout = std::chrono::seconds(10);
 constexpr auto writeTimeout = std::chrono::seconds(30);
 //! What is read ahead of the next request while one is being handled.
 constexpr std::size_t maxPipelinedBytes = maxHeaderBytes;
@@ -255,9 +255,10 @@
         m_openRequest = RequestId();
         m_state->lastRead = std::chrono::steady_clock::now();
         m_parser.emplace();
-        m_parser->header_limit(maxHeaderBytes);
+        const HttpLimits limits = m_state->widestLimitsSince(currentTime());
+        m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         m_parser->body_limit(m_state->options.maxBodyBytes);
-        m_stream.expires_after(receiveTimeout);
+        m_stream.expires_after(limits.headerTimeout);
         http::async_read_header(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
                                     error ? handleReadError(error) : readBody();
                                 }));
@@ -276,6 +277,7 @@
             reject(ResultCode::Shed, CloseReason::OverLimit);
             return;
         }
+        m_stream.expires_after(bodyTimeout);
         http::async_read(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
                              error ? handleReadError(error) : checkRequest();
                          }));
--- a/tests/transport/httplimits.cpp
+++ b/tests/transport/httplimits.cpp
@@ -46,6 +46,39 @@
     cr_expect_lt(longest, std::chrono::hours(2));
 }
 
+Test(httplimits, a_client_that_stays_within_the_configuration_is_not_cut_by_a_narrower_limit_of_headers)
+{
+    const HttpLimits own;
+    ClientLimits allowed;
+    allowed.headerBytes = 32 * kibibyte;
+    allowed.headerTimeout = seconds(30);
+    cr_expect_gt(widened(own, allowed).headerBytes, allowed.headerBytes);
+    cr_expect_gt(widened(own, allowed).headerTimeout, allowed.headerTimeout);
+    allowed.headerBytes = 1;
+    allowed.headerTimeout = Duration::min();
+    cr_expect_eq(widened(own, allowed).headerBytes, own.headerBytes);
+    cr_expect_eq(widened(own, allowed).headerTimeout, own.headerTimeout);
+    allowed.headerBytes = std::numeric_limits<std::size_t>::max();
+    allowed.headerTimeout = Duration::max();
+    cr_expect_leq(widened(own, allowed).headerBytes, maxReadAheadBytes);
+    cr_expect_lt(widened(own, allowed).headerTimeout, std::chrono::minutes(2));
+}
+
+Test(httplimits, a_change_that_widens_one_limit_and_narrows_another_costs_nobody_what_was_allowed)
+{
+    HttpLimits before;
+    before.headerBytes = 48 * kibibyte;
+    before.headerTimeout = seconds(10);
+    HttpLimits after;
+    after.headerBytes = 16 * kibibyte;
+    after.headerTimeout = seconds(40);
+    HttpLimitsInForce limits(before);
+    limits.set(after, at(100));
+    cr_expect_eq(limits.widestSince(at(101)).headerBytes, before.headerBytes);
+    cr_expect_eq(limits.widestSince(at(101)).headerTimeout, after.headerTimeout);
+    cr_expect_eq(limits.widestSince(at(200)).headerBytes, after.headerBytes);
+}
+
 Test(httplimits, a_shorter_idle_limit_does_not_apply_to_connections_that_were_told_a_longer_one)
 {
     HttpLimitsInForce limits(idleLimit(seconds(160)));
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -36,8 +36,12 @@
 {
 public:
     explicit CountingServer(std::chrono::milliseconds idleTimeout = std::chrono::seconds(75))
+        : CountingServer(idleLimits(idleTimeout))
+    {
+    }
+    explicit CountingServer(const HttpLimits &limits)
         : m_address{"127.0.0.1", freePort()}
-        , m_server({&m_context}, options(idleTimeout), [this](const std::shared_ptr<HttpExchange> &exchange) {
+        , m_server({&m_context}, options(limits), [this](const std::shared_ptr<HttpExchange> &exchange) {
             ++m_handled;
             exchange->respond(textResponse(200, "text/plain", "ok"));
         })
@@ -98,12 +102,19 @@
     }
 
 private:
-    HttpServer::Options options(std::chrono::milliseconds idleTimeout)
+    static HttpLimits idleLimits(std::chrono::milliseconds idleTimeout)
+    {
+        HttpLimits limits;
+        limits.idleTimeout = idleTimeout;
+        return limits;
+    }
+
+    HttpServer::Options options(const HttpLimits &limits)
     {
         HttpServer::Options options;
         options.address = m_address;
         options.maxBodyBytes = 64 * kibibyte;
-        options.limits.idleTimeout = idleTimeout;
+        options.limits = limits;
         options.connectionClosed = [this](const ClosedConnection &closed) {
             const std::lock_guard lock(m_mutex);
             m_closed.push_back(closed);
@@ -327,6 +338,44 @@
     }
 }
 
+Test(httpserver, a_header_is_taken_that_the_limits_in_force_allow)
+{
+    struct Case
+    {
+        const char *description;
+        std::size_t headerBytes;
+        const char *statusLine;
+    };
+    const Case cases[] = {{"wider than the built-in limit", 40 * kibibyte, "HTTP/1.1 200 OK"},
+                          {"wider than the limit in force", 60 * kibibyte, "HTTP/1.1 400 Bad Request"}};
+    for (const Case &testCase : cases) {
+        CountingServer server;
+        asio::io_context context;
+        tcp::socket socket = server.connect(context);
+        statusLineOf(socket, plainRequest);
+        HttpLimits limits;
+        limits.headerBytes = 48 * kibibyte;
+        server.server().setLimits(limits);
+        const std::string statusLine = statusLineOf(socket, "GET / HTTP/1.1\r\nF: " + std::string(testCase.headerBytes, 'x') + "\r\n\r\n");
+        cr_expect(statusLine == testCase.statusLine, "%s: '%s'", testCase.description, statusLine.c_str());
+    }
+}
+
+Test(httpserver, the_time_for_a_header_does_not_end_the_body_that_follows)
+{
+    HttpLimits limits;
+    limits.headerTimeout = std::chrono::milliseconds(200);
+    CountingServer server(limits);
+    asio::io_context context;
+    tcp::socket slowBody = server.connect(context);
+    tcp::socket slowHeader = server.connect(context);
+    send(slowBody, "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n");
+    send(slowHeader, "POST / HTTP/1.1\r\nContent-Length: 4\r\n");
+    cr_expect_eq(server.waitForClosed(1).front().reason, CloseReason::ReceiveTimeout);
+    cr_expect(statusLineOf(slowBody, "body") == "HTTP/1.1 200 OK");
+    cr_expect_eq(receive(slowHeader), "");
+}
+
 Test(httpserver, a_reset_of_an_idle_connection_is_not_reported_as_a_request_without_response)
 {
     CountingServer server;
