Instance list: tell the directory when the store was restored

InstanceDirectory knows since what to believe of a restored copy; MeshCore did not tell it of one, nor which change of the store wrote an entry.

Change: when the entries belong to another era of the store, the directory is told before it gets them. A heartbeat of a backend server whose entry is not believed counts as a change, so that it is reported and passed on to the nodes that do not read the store. The log line of an applied list says how many entries are retained or not believed.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -541,7 +542,7 @@
 {
     std::string ignored;
     const auto isInvalid = [&](const StoreItem &item) { return !m_protocol.decodeInstance(item, ignored); };
-    return m_protocol.isHeartbeat(previous, next) || (isInvalid(previous) && isInvalid(next));
+    return (m_protocol.isHeartbeat(previous, next) && !awaitsWrite(previous.key)) || (isInvalid(previous) && isInvalid(next));
 }
 
 void MeshCore::instancesChanged()
@@ -551,16 +552,28 @@
     for (const auto &[key, item] : items) {
         if (const auto &entry = decodeEntry(key, item); entry) {
             entries.push_back(*entry);
+            entries.back().writtenAt = item.position();
         }
     }
     for (auto decoded = m_decodedEntries.begin(); decoded != m_decodedEntries.end();) {
         decoded = items.count(decoded->first) == 0 ? m_decodedEntries.erase(decoded) : std::next(decoded);
     }
     removeUnknownServices(entries);
-    m_directory.update(entries, m_replication->instances().availableSince(), m_clock());
+    const PrefixMirror &mirror = m_replication->instances();
+    if (mirror.synced().era != std::exchange(m_instancesEra, mirror.synced().era)) {
+        m_directory.storeRestored(m_clock());
+    }
+    m_directory.update(entries, mirror.availableSince(), m_clock());
     applyInstances();
 }
 
+//! Whether the next write of an instance entry is to be reported even if it is a heartbeat.
+bool MeshCore::awaitsWrite(const std::string &key) const
+{
+    const auto decoded = m_decodedEntries.find(key);
+    return decoded != m_decodedEntries.end() && decoded->second.entry && m_directory.awaitsWrite(decoded->second.entry->instance.backend);
+}
+
 //! Removes the entries of services that the configuration does not name, where an entry of a service that it names has the same
 //! instance: the one that started last replaces the others.
 void MeshCore::removeUnknownServices(std::vector<InstanceDirectory::Entry> &entries) const
@@ -648,7 +661,8 @@
                 ResultCode::Success,
                 {},
                 toText(m_replication->instances().lastChange()) + ", " + std::to_string(m_instances.size()) + " instances, "
-                    + std::to_string(leaving) + " leaving"});
+                    + std::to_string(leaving) + " leaving, " + std::to_string(m_directory.retainedCount()) + " missing but retained, "
+                    + std::to_string(m_directory.unconfirmedCount()) + " unconfirmed"});
 }
 
 void MeshCore::updateOwnCandidate()
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -139,6 +139,7 @@
     void instancesChanged();
     void removeUnknownServices(std::vector<InstanceDirectory::Entry> &entries) const;
     bool isImmaterialChange(const StoreItem &previous, const StoreItem &next) const;
+    bool awaitsWrite(const std::string &key) const;
     const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
     void decodeConfiguration(const std::string &key, const StoreItem &item);
     void reportInvalidEntry(const std::string &key, const std::string &reason);
@@ -157,6 +158,8 @@
     GracefulShutdown m_shutdown;
     std::shared_ptr<const RouteTable> m_routes;
     InstanceDirectory m_directory;
+    //! The era of the store to which the entries in the directory belong.
+    StoreEra m_instancesEra;
     std::vector<PublishedInstance> m_instances;
     //! This node's entry in the instance list; its backend id identifies one start of the backend server.
     std::optional<PublishedInstance> m_ownInstance;
