Take a newer configuration from peers, whatever the store holds

A node that starts while the store holds a copy some seconds old reads an older version of the configuration than the one that its peers have in force, and serves it until the operator writes again.

Cause: nodes replicate the state of the store, and compare revisions of the store only. The version in force, which outlives the state it was read from, was known to no peer.

Change: the status tells the version of the routes in force. A node that holds a lower one for longer than a change takes to be replicated asks one peer at a time, the highest version first (ConfigurationFetch). A node without any configuration asks at once. The log line that a configuration was applied names its source.

Older builds close a connection on an unknown kind of message. They don't report the version, so they are never asked, and only who asks is answered.

Not shown here: two real nodes, one of them with an older store.

--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -134,7 +134,10 @@
     schedulePeriodically(m_context, executorTickInterval, [this] { m_executor->tick(); });
     schedulePeriodically(m_context, linkTickInterval, [this] { m_links->tick(); });
     schedulePeriodically(m_context, clearingRankTickInterval, [this] { publishClearingRank(); });
-    schedulePeriodically(m_context, replicationTickInterval, [this] { m_replication->tick(); });
+    schedulePeriodically(m_context, replicationTickInterval, [this] {
+        m_replication->tick();
+        requestNewerRoutes();
+    });
     schedulePeriodically(m_context, directoryTickInterval, [this] {
         if (m_directory.expire(m_replication->instances().availableSince(), m_clock())) {
             applyInstances();
@@ -432,9 +435,14 @@
         m_executor->cancel(cancel->ticket);
     } else if (const auto *voided = std::get_if<VoidTicketMessage>(&event.message); voided != nullptr) {
         m_executor->voidTicket(voided->ticket);
+    } else if (const auto *wantsRoutes = std::get_if<RoutesRequest>(&event.message); wantsRoutes != nullptr) {
+        serveRoutes(event.connection, *wantsRoutes);
+    } else if (const auto *routes = std::get_if<RoutesMessage>(&event.message); routes != nullptr) {
+        handleRoutes(event.instance, *routes);
     } else {
         if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
             setPeerClearingRank(event.instance, status->clearingRank);
+            m_configurationFetch.recordVersion(event.instance, status->routesVersion, m_clock());
         }
         m_replication->received(event);
     }
@@ -506,35 +514,37 @@
     for (const auto &[key, item] : m_replication->configuration().items()) {
         if (StorePosition &decoded = m_decodedConfigurations[key]; decoded < item.position()) {
             decoded = item.position();
-            decodeConfiguration(key, item);
+            applyConfiguration(item, "store " + toText(item.position()));
         }
     }
 }
 
-void MeshCore::decodeConfiguration(const std::string &key, const StoreItem &item)
+//! Puts a configuration in force if it is valid and newer. `source` says where it comes from.
+bool MeshCore::applyConfiguration(const StoreItem &item, const std::string &source)
 {
     std::string reason;
     auto table = m_protocol.decodeRoutes(item, reason);
     if (!table) {
-        m_log.warn({"configuration rejected", ResultCode::PlatformMalformed, {}, key + ": " + reason});
-        return;
+        m_log.warn({"configuration rejected", ResultCode::PlatformMalformed, {}, item.key + ", " + source + ": " + reason});
+        return false;
     }
     // Versions never go back, whatever order they arrive in.
     if (!(m_routes->revision() < table->revision())) {
-        return;
+        return false;
     }
     m_routes = std::make_shared<const RouteTable>(std::move(*table));
     m_log.info({"configuration applied",
                 ResultCode::Success,
                 {},
-                "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size())
-                    + " routes, store " + toText(item.position()) + ", " + toText(m_routes->limits())});
+                "version " + std::to_string(m_routes->revision().value()) + ", " + std::to_string(m_routes->routes().size()) + " routes, "
+                    + source + ", " + toText(m_routes->limits())});
     if (m_clientLimitsHandler) {
         m_clientLimitsHandler(m_routes->limits());
     }
     if (m_replication->instances().hasContent()) {
         instancesChanged();
     }
+    return true;
 }
 
 //! Whether an entry only counts on, or names no instance before and after the change.
@@ -545,6 +555,27 @@
     return (m_protocol.isHeartbeat(previous, next) && !awaitsWrite(previous.key)) || (isInvalid(previous) && isInvalid(next));
 }
 
+void MeshCore::requestNewerRoutes()
+{
+    if (const auto peer = m_configurationFetch.nextPeer(m_routes->revision(), m_clock()); peer) {
+        m_links->sendOnAnyConnection(*peer, RoutesRequest{m_routes->revision()});
+    }
+}
+
+void MeshCore::serveRoutes(ConnectionId connection, const RoutesRequest &request)
+{
+    if (request.heldVersion < m_routes->revision()) {
+        m_links->reply(connection, RoutesMessage{m_routes->document()});
+    }
+}
+
+void MeshCore::handleRoutes(const InstanceId &peer, const RoutesMessage &message)
+{
+    const StoreItem item{m_protocol.configurationPrefix, message.document, {}};
+    const bool isApplied = applyConfiguration(item, "taken from peer " + peer.value());
+    m_configurationFetch.answered(peer, isApplied, m_clock());
+}
+
 void MeshCore::instancesChanged()
 {
     const auto &items = m_replication->instances().items();
@@ -737,6 +768,7 @@
     status.instancesEra = instances.era;
     status.clearingRank = m_executor->clearingRank();
     status.storeAvailableFor = m_replication->storeAvailableFor();
+    status.routesVersion = m_routes->revision();
     return status;
 }
 
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilpaddle/base/latencyhistogram.h>
+#include <chervilpaddle/controllers/configurationfetch.h>
 #include <chervilpaddle/controllers/delayedretrydetector.h>
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
@@ -141,7 +142,10 @@
     bool isImmaterialChange(const StoreItem &previous, const StoreItem &next) const;
     bool awaitsWrite(const std::string &key) const;
     const std::optional<InstanceDirectory::Entry> &decodeEntry(const std::string &key, const StoreItem &item);
-    void decodeConfiguration(const std::string &key, const StoreItem &item);
+    bool applyConfiguration(const StoreItem &item, const std::string &source);
+    void requestNewerRoutes();
+    void serveRoutes(ConnectionId connection, const RoutesRequest &request);
+    void handleRoutes(const InstanceId &peer, const RoutesMessage &message);
     void reportInvalidEntry(const std::string &key, const std::string &reason);
     void applyInstances();
     void updateOwnCandidate();
@@ -157,6 +161,7 @@
     Incarnation m_incarnation;
     GracefulShutdown m_shutdown;
     std::shared_ptr<const RouteTable> m_routes;
+    ConfigurationFetch m_configurationFetch;
     InstanceDirectory m_directory;
     //! The era of the store to which the entries in the directory belong.
     StoreEra m_instancesEra;
--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -391,6 +391,9 @@
     if (m.storeAvailableFor) {
         fields.field("storeAvailable", std::int64_t(m.storeAvailableFor->count()));
     }
+    if (m.routesVersion.value() != 0) {
+        fields.field("routesVersion", m.routesVersion.value());
+    }
 }
 
 StatusMessage decodeStatus(const CborValue &v)
@@ -411,6 +414,9 @@
     if (const auto available = v.find("storeAvailable"); available) {
         m.storeAvailableFor = Duration(static_cast<std::int64_t>(std::min(available->unsignedNumber(), maxStoreAvailability)));
     }
+    if (const auto version = v.find("routesVersion"); version) {
+        m.routesVersion = Revision(version->unsignedNumber());
+    }
     return m;
 }
 
@@ -461,6 +467,18 @@
     fields.field("document", m.document);
 }
 
+void encode(FieldWriter &fields, const RoutesRequest &m)
+{
+    fields.field("kind", "getRoutes");
+    fields.field("held", m.heldVersion.value());
+}
+
+void encode(FieldWriter &fields, const RoutesMessage &m)
+{
+    fields.field("kind", "routes");
+    fields.field("document", m.document);
+}
+
 PeerMessage decodeMessage(const CborValue &v)
 {
     const std::string_view kind = v.at("kind").text();
@@ -494,6 +512,12 @@
     if (kind == "instances") {
         return InstancesMessage{decodeText(v.at("document"))};
     }
+    if (kind == "getRoutes") {
+        return RoutesRequest{Revision(v.at("held").unsignedNumber())};
+    }
+    if (kind == "routes") {
+        return RoutesMessage{decodeText(v.at("document"))};
+    }
     throw FrameError(ResultCode::FrameMalformed);
 }
 
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -163,6 +163,8 @@
     Rank clearingRank = 0;
     //! For how long the sender, a reader of the platform's store, has had access to it; not set if it has none.
     std::optional<Duration> storeAvailableFor;
+    //! The version of the routes that the sender has in force and serves to peers; zero if it does not report one.
+    Revision routesVersion;
 };
 
 //! Requests a newer configuration. Lists the digests of the contracts already held, so that only changed ones are sent.
@@ -192,6 +194,18 @@
     std::string document;
 };
 
+//! Requests the routes in force. Only sent to peers that report their version: older builds reject unknown kinds of messages.
+struct RoutesRequest
+{
+    Revision heldVersion;
+};
+
+struct RoutesMessage
+{
+    //! The source text of the routes.
+    std::string document;
+};
+
 using PeerMessage = std::variant<HelloMessage,
                                  CallMessage,
                                  ResponseMessage,
@@ -201,7 +215,9 @@
                                  ConfigurationRequest,
                                  ConfigurationMessage,
                                  InstancesRequest,
-                                 InstancesMessage>;
+                                 InstancesMessage,
+                                 RoutesRequest,
+                                 RoutesMessage>;
 
 } // namespace chervilpaddle
 
--- a/src/chervilpaddle/peer/peertraffic.cpp
+++ b/src/chervilpaddle/peer/peertraffic.cpp
@@ -16,7 +16,9 @@
                                                 {"configuration request"},
                                                 {"configuration"},
                                                 {"instances request"},
-                                                {"instances"}}};
+                                                {"instances"},
+                                                {"routes request"},
+                                                {"routes"}}};
 
 } // namespace
 
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -72,7 +72,9 @@
                                     request,
                                     configuration,
                                     InstancesRequest(),
-                                    InstancesMessage{"{}"}};
+                                    InstancesMessage{"{}"},
+                                    RoutesRequest{Revision(5)},
+                                    RoutesMessage{"{}"}};
     for (const PeerMessage &message : messages) {
         PeerFrame frame;
         cr_expect_not(decodeFrame(encodeFrame({message, TimePoint()}), frame));
@@ -80,6 +82,31 @@
     }
 }
 
+Test(codec, a_status_without_a_routes_version_comes_from_a_peer_that_cannot_serve_its_routes)
+{
+    StatusMessage status;
+    status.routesVersion = Revision(12);
+    const json reported = json::from_cbor(encodeFrame({status, TimePoint()}));
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encoded(reported), frame));
+    cr_assert_eq(std::get<StatusMessage>(frame.message).routesVersion.value(), 12);
+    json older = reported;
+    older.erase("routesVersion");
+    cr_assert_not(decodeFrame(encoded(older), frame));
+    cr_assert_eq(std::get<StatusMessage>(frame.message).routesVersion.value(), 0);
+    cr_assert_not(json::from_cbor(encodeFrame({StatusMessage(), TimePoint()})).contains("routesVersion"));
+}
+
+Test(codec, routes_are_unchanged_by_encoding_and_decoding)
+{
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({RoutesRequest{Revision(7)}, TimePoint()}), frame));
+    cr_assert_eq(std::get<RoutesRequest>(frame.message).heldVersion.value(), 7);
+    const std::string document = R"({"version": 8, "listeners": []})";
+    cr_assert_not(decodeFrame(encodeFrame({RoutesMessage{document}, TimePoint()}), frame));
+    cr_assert(std::get<RoutesMessage>(frame.message).document == document);
+}
+
 Test(codec, an_unknown_field_is_ignored)
 {
     json value = exampleAsJson();
--- a/tests/peer/peertraffic.cpp
+++ b/tests/peer/peertraffic.cpp
@@ -40,10 +40,12 @@
                                                                          ConfigurationRequest(),
                                                                          ConfigurationMessage(),
                                                                          InstancesRequest(),
-                                                                         InstancesMessage()}) {
+                                                                         InstancesMessage(),
+                                                                         RoutesRequest(),
+                                                                         RoutesMessage()}) {
         traffic.record(message, ++bytes);
     }
     cr_assert(toText(traffic)
               == "hello 1/1, call 1/2, response 1/3, cancel 1/4, void 1/5, status 1/6, configuration request 1/7, configuration 1/8, "
-                 "instances request 1/9, instances 1/10");
+                 "instances request 1/9, instances 1/10, routes request 1/11, routes 1/12");
 }
