--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -611,6 +611,30 @@
     cr_assert_eq(fleet.holders("i/a", "2"), 60, "a change is known within two seconds all the same");
 }
 
+//! Nodes that do not read the store are sent the items of the new era, and do not find out by the reports of the readers.
+Test(storereplication, a_restoration_is_passed_on_without_requests)
+{
+    ReplicatedFleet fleet(60);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    for (int i = 0; i < 50; ++i) {
+        fleet.write("i/lost", std::to_string(i));
+    }
+    fleet.time.runFor(5s);
+    const auto requestsSent = [&fleet] {
+        std::uint64_t count = 0;
+        for (const auto &[id, node] : fleet.nodes) {
+            count += node->counters().requestsSent;
+        }
+        return count;
+    };
+    const std::uint64_t before = requestsSent();
+    fleet.restoreStore();
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/lost", "49"), 0);
+    cr_assert_eq(requestsSent(), before);
+}
+
 //! While a fleet is updated, the readers may be of a build that does not notice a restoration.
 Test(storereplication, nodes_do_not_rely_on_readers_that_do_not_know_eras)
 {
