Check the ranges of what is accepted from mutated documents

The fuzz test of the decoders checked only that no exception leaves them. A second one with a fixed seed replaces one or two fields of a valid entry and of a valid configuration by odd values, 4000 times each, and checks that whatever is accepted is within its range: counts, names, durations, weights, version.

--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -9,7 +9,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cmath>
 #include <criterion/criterion.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace chervilpaddle;
@@ -548,3 +550,71 @@
     cr_expect_not(decodeInstance(entry, reason).has_value());
     cr_expect_eq(itemWithKey("op/config").value.size(), 1'050'000);
 }
+
+Test(platform, whatever_is_accepted_from_a_mutated_document_is_within_its_range)
+{
+    using nlohmann::json;
+    const json entry = json::parse(R"({"service":"x","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":108,)"
+                                   R"("state":"ready","cold_remaining_s":0.5,"sequence":4,"born":1700000000000})");
+    const json configuration = json::parse(validConfiguration);
+    json nested = 1;
+    for (int depth = 0; depth < 100; ++depth) {
+        nested = json::array({std::move(nested)});
+    }
+    const json values[] = {nullptr,
+                           true,
+                           -1,
+                           0,
+                           1.5,
+                           1e300,
+                           -1e300,
+                           1e-300,
+                           std::numeric_limits<std::int64_t>::min(),
+                           std::numeric_limits<std::int64_t>::max(),
+                           std::numeric_limits<std::uint64_t>::max(),
+                           "",
+                           "NaN",
+                           std::string("\r\n\0", 3),
+                           "10.0.0.1:99999",
+                           "0.0.0.0:1",
+                           "/",
+                           std::string(100'000, 'a'),
+                           json::array(),
+                           json::object(),
+                           nested};
+    RandomSource random(20261205);
+    const auto mutated = [&](json document) {
+        for (std::size_t count = 1 + uniformIndex(random, 2); count > 0; --count) {
+            const json fields = document.flatten();
+            auto field = fields.begin();
+            std::advance(field, static_cast<std::ptrdiff_t>(uniformIndex(random, fields.size())));
+            document[json::json_pointer(field.key())] = values[uniformIndex(random, std::size(values))];
+        }
+        return document.dump();
+    };
+    const auto isName = [](const std::string &text) {
+        return !text.empty() && text.size() <= 200 && std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20; });
+    };
+    int accepted = 0;
+    for (int i = 0; i < 4000; ++i) {
+        std::string reason;
+        if (const auto decoded = decodeInstance({"servers/i-1", mutated(entry), Revision(3)}, reason); decoded) {
+            const PublishedInstance &instance = decoded->instance;
+            cr_assert(instance.slots >= 1 && instance.slots <= 100'000 && decoded->startedAt >= 0);
+            cr_assert(isName(instance.service.value()) && isName(instance.dataCentre.value()) && isName(instance.instance.value()));
+            ++accepted;
+        }
+        if (const auto table = decodeRoutes({"op/config", mutated(configuration), Revision(5)}, reason); table) {
+            cr_assert_leq(table->revision().value(), static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+            for (const Route &route : table->routes()) {
+                cr_assert(route.timeout >= Duration::zero() && route.timeout <= std::chrono::hours(24 * 365 * 100));
+                cr_assert(route.maxAttempts >= 1 && route.stepsBelowTopPriority >= 0 && !route.targets.empty());
+                for (const RouteTarget &target : route.targets) {
+                    cr_assert(target.weight >= 0 && std::isfinite(target.weight));
+                }
+            }
+            ++accepted;
+        }
+    }
+    cr_assert_gt(accepted, 100, "the mutations must not all be rejected");
+}
