--- a/standins/meshenvironment.h
+++ b/standins/meshenvironment.h
@@ -56,7 +56,9 @@
 
     void addBackend(const std::string &name, const std::string &service, const std::string &dataCentre);
     void publishInstance(const std::string &id, const std::string &state);
+    //! Without a service, the route "extra" is left out.
     void publishRoutes(int version, const std::string &extraService);
+    void publishChanges(int version);
     void waitForNodes();
     void sendNext();
     void sendRequest(std::size_t node, bool isIdempotent, const std::string &path);
