Test a data centre that is cut off while the store is restored

Its nodes hold changes that are lost everywhere else. After the cut they must take the restored state over and not bring theirs back.

--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -115,6 +115,11 @@
         return count;
     }
 
+    DataCentreName dataCentreOf(const InstanceId &id) const
+    {
+        return m_list.instances[m_numbers.at(id)].dataCentre;
+    }
+
     std::vector<InstanceId> selectedReaders() const
     {
         std::vector<InstanceId> readers;
@@ -132,6 +137,8 @@
     std::set<InstanceId> stopped;
     //! Nodes whose requests to the store fail.
     std::set<InstanceId> withoutStore;
+    //! Nodes that are partitioned from the others.
+    std::set<InstanceId> cutOff;
     //! Nodes of a build that does not know eras.
     std::set<InstanceId> withoutEras;
     //! The store does not keep any changes.
@@ -241,7 +248,7 @@
             ++otherMessages;
         }
         time.after(linkDelay, [this, from, to, message] {
-            if (stopped.count(from) == 0 && stopped.count(to) == 0) {
+            if (stopped.count(from) == 0 && stopped.count(to) == 0 && cutOff.count(from) == cutOff.count(to)) {
                 nodes.at(to)->received({ConnectionId(m_numbers.at(from)), from, message, Duration::zero()});
             }
         });
@@ -549,6 +556,35 @@
     cr_assert_eq(fleet.holders("i/a", "3"), 30);
 }
 
+//! The nodes of a data centre hold lost changes, which they must not bring back.
+Test(storereplication, a_data_centre_that_was_cut_off_during_a_restoration_follows_it_afterwards)
+{
+    ReplicatedFleet fleet(30);
+    fleet.write("i/a", "1");
+    fleet.copyStore();
+    for (int i = 0; i < 50; ++i) {
+        fleet.write("i/lost", std::to_string(i));
+    }
+    fleet.time.runFor(3s);
+    for (const auto &[id, node] : fleet.nodes) {
+        if (fleet.dataCentreOf(id) == DataCentreName("dc1")) {
+            fleet.cutOff.insert(id);
+            fleet.withoutStore.insert(id);
+        }
+    }
+    fleet.time.runFor(200ms);
+    fleet.restoreStore();
+    fleet.write("i/a", "2");
+    fleet.time.runFor(4s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 20);
+    cr_assert_eq(fleet.holders("i/lost", "49"), 10);
+    fleet.cutOff.clear();
+    fleet.withoutStore.clear();
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.holders("i/a", "2"), 30);
+    cr_assert_eq(fleet.holders("i/lost", "49"), 0);
+}
+
 Test(storereplication, a_node_that_knows_only_the_copy_follows_later_changes)
 {
     ReplicatedFleet fleet(30);
