--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -169,7 +169,7 @@
     meshCommand->add_option("--seconds", meshSeconds);
     meshCommand->add_option("--rate", mesh.requestsPerSecond);
     meshCommand->add_option("--seed", mesh.seed);
-    meshCommand->add_option("--events", mesh.events, "Of: drain, route, down, history, odd, restored, changes");
+    meshCommand->add_option("--events", mesh.events, "Of: drain, route, down, history, odd, restored, changes, unwritten");
     meshCommand->add_option("--stopped", mesh.stoppedInstance, "Instance that the test stops when told to");
     meshCommand->add_option("--stop-calls", mesh.stopCalls, "What its callers do then: quiet, late, stuck");
     meshCommand->add_option("--spare", mesh.sparedInstances, "Instances to which callers do not send");
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -306,8 +306,10 @@
 }
 
 //! The store loses a version of the routes, which is written again, and the next one has a lower revision than the lost one had.
+//! With the event "unwritten", the store keeps the older version.
 void MeshEnvironment::scheduleRestoration()
 {
+    const bool isWrittenAgain = m_options.events.count("unwritten") == 0;
     after(copyDelay, [this] { m_store.copy(); });
     after(firstEventDelay, [this] {
         for (int i = 0; i < lostWrites; ++i) {
@@ -316,15 +318,19 @@
         publishRoutes(2, "outer");
     });
     after(restorationOutageDelay, [this] { m_store.setDown(true); });
-    after(restorationDelay, [this] {
+    after(restorationDelay, [this, isWrittenAgain] {
         m_store.restore();
         m_store.setDown(false);
-        publishRoutes(2, "outer");
-    });
-    after(routeAfterRestorationDelay, [this] {
-        publishRoutes(3, "spare");
-        m_routedAt = steadyClock()();
+        if (isWrittenAgain) {
+            publishRoutes(2, "outer");
+        }
     });
+    if (isWrittenAgain) {
+        after(routeAfterRestorationDelay, [this] {
+            publishRoutes(3, "spare");
+            m_routedAt = steadyClock()();
+        });
+    }
 }
 
 void MeshEnvironment::sendNext()
