Substitutes report a restoration to the readers instead of sending all items

Seen by the review, not by callers: when the store is away for longer than 1.2 s and comes back from a copy, all nodes read it in place of the readers, notice the newer era, and each sent all items to both readers of its data centre, since items of two eras have no changes between them. The load of a reader grew with the square of the fleet, at the moment at which it has to pass the restoration on.

A substitute now sends its status, and a reader that is behind asks one peer for the items, as after any missed change. Changes within an era are sent as before.

--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -108,6 +108,13 @@
     if (!since || m_role.receivers().empty() || !(*since < mirror.lastChange())) {
         return;
     }
+    if (m_role.isSubstitute() && since->era != mirror.lastChange().era) {
+        // Peers need all items after a restoration. A reader that lacks them asks one of the many substitutes.
+        for (const InstanceId &reader : m_role.receivers()) {
+            m_hooks.sendStatus(reader);
+        }
+        return;
+    }
     const std::string document = mirror.changesSince(*since);
     for (const InstanceId &receiver : m_role.receivers()) {
         ++m_counters.documentsSent;
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -71,6 +71,14 @@
         }
     }
 
+    //! Ends all watches that are out without a response.
+    void cutWatches()
+    {
+        for (const Watch &watch : std::exchange(m_watches, {})) {
+            time.after(storeDelay, [watch] { watch.reply({}); });
+        }
+    }
+
     //! Replaces a node by a new process.
     void restart(const InstanceId &id)
     {
@@ -148,6 +156,7 @@
     std::map<InstanceId, int> storeCallsOf;
     int documents = 0;
     std::size_t documentBytes = 0;
+    std::map<InstanceId, int> documentsTo;
     int otherMessages = 0;
     int instanceListUpdates = 0;
 
@@ -244,6 +253,7 @@
         if (const auto *document = std::get_if<InstancesMessage>(&message); document != nullptr) {
             ++documents;
             documentBytes += document->document.size();
+            ++documentsTo[to];
         } else {
             ++otherMessages;
         }
@@ -689,3 +699,35 @@
     cr_assert_eq(fleet.holders("i/a", "2"), 30);
     cr_assert_eq(fleet.holders("i/lost", "1"), 0);
 }
+
+//! The nodes that read the store in place of silent readers all notice the restoration, and none knows that the others do.
+Test(storereplication, substitutes_do_not_each_send_all_items_to_the_readers_after_a_restoration)
+{
+    constexpr int size = 150;
+    constexpr int readers = static_cast<int>(storeReadersPerDataCentre) * dataCentres;
+    ReplicatedFleet fleet(size);
+    for (int i = 0; i < size; ++i) {
+        fleet.write("i/server" + std::to_string(i), std::string(200, 'v'));
+    }
+    fleet.time.runFor(2s);
+    fleet.copyStore();
+    fleet.write("i/lost", "1");
+    fleet.time.runFor(3s);
+    for (const auto &[id, node] : fleet.nodes) {
+        fleet.withoutStore.insert(id);
+    }
+    fleet.cutWatches();
+    fleet.time.runFor(2s);
+    cr_assert_eq(fleet.substitutes(), size - readers);
+    fleet.restoreStore();
+    fleet.withoutStore.clear();
+    fleet.documents = 0;
+    fleet.documentsTo.clear();
+    fleet.write("i/server0", "2");
+    fleet.time.runFor(2s);
+    cr_expect_eq(fleet.holders("i/server0", "2"), size, "%d of %d nodes", fleet.holders("i/server0", "2"), size);
+    cr_expect_eq(fleet.holders("i/lost", "1"), 0);
+    for (const auto &[id, documents] : fleet.documentsTo) {
+        cr_expect_leq(documents, 2 * readers, "%d documents sent to %s", documents, id.value().c_str());
+    }
+}
