Take long header fields of callers from peers, too

What callers could see: where the configuration allows headers over 24 KiB, a request whose target or one of whose fields is longer than 32 KiB is read, and passed on to a peer that rejects the frame (FrameTooLarge) and closes the link. Every call in flight on that link is lost, and a repeat does the same to the link to the next peer.

Change: the decoder takes texts of 64 KiB, and a static assertion ties the two limits. A peer of an older build still closes the link. Not played with processes.

codec.a_request_with_the_longest_header_that_is_taken_can_be_passed_on failed before: 0 fields: A peer's frame is too large. 1 fields: A peer's frame is too large. codec.* 17 of 17 after; the check of texts of 66,000 bytes is unchanged.

--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -22,8 +22,6 @@
 constexpr int maxRetryAllowance = 1'000;
 constexpr int hexadecimal = 16;
 constexpr int maxHttpStatus = 999;
-//! Longer names and values cannot be written as HTTP. Heads that a node has received are shorter.
-constexpr std::size_t maxHeadTextBytes = 32 * kibibyte;
 //! Longest encoding of the start of a map.
 constexpr std::size_t maxMapHeadBytes = 9;
 //! Room for the fields of an ordinary call without its body.
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -18,6 +18,8 @@
 
 //! Maximum size of a request or response body.
 constexpr std::size_t maxBodyBytes = 8 * mebibyte;
+//! Longest text in the head of a call. Frames with longer ones are rejected, so nodes must not take longer headers from callers.
+constexpr std::size_t maxHeadTextBytes = 64 * kibibyte;
 //! Major version of the peer protocol. Peers with another major version are rejected; unknown fields are ignored.
 constexpr int peerProtocolMajor = 1;
 
--- a/src/chervilpaddle/transport/httplimits.cpp
+++ b/src/chervilpaddle/transport/httplimits.cpp
@@ -1,5 +1,7 @@
 #include <chervilpaddle/transport/httplimits.h>
 
+#include <chervilpaddle/peer/messages.h>
+
 #include <algorithm>
 
 namespace chervilpaddle {
@@ -13,6 +15,7 @@
 constexpr std::size_t requestLineBytes = 8 * kibibyte;
 constexpr std::size_t maxWidenedHeaderBytes = 64 * kibibyte;
 static_assert(maxWidenedHeaderBytes <= maxReadAheadBytes);
+static_assert(maxWidenedHeaderBytes <= maxHeadTextBytes);
 //! Time for a header that was sent in time to arrive.
 constexpr Duration headerMargin = std::chrono::seconds(2);
 constexpr Duration maxHeaderTimeout = std::chrono::minutes(1);
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -1,7 +1,9 @@
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/peer/codec.h>
+#include <chervilpaddle/transport/httplimits.h>
 
 #include <criterion/criterion.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace chervilpaddle;
@@ -237,6 +239,25 @@
     cr_assert(copy.payload.head->fields == call.payload.head->fields);
 }
 
+//! A peer that rejects a frame closes the link, and with it every call that is in flight on it.
+Test(codec, a_request_with_the_longest_header_that_is_taken_can_be_passed_on)
+{
+    ClientLimits allowed;
+    allowed.headerBytes = std::numeric_limits<std::size_t>::max();
+    const std::size_t longest = widened({}, allowed).headerBytes;
+    constexpr std::size_t shortestFieldBytes = 4;
+    const HttpHead longTarget{"GET", std::string(longest, 'x'), {}};
+    const HttpHead longField{"GET", "/", {{"Cookie", std::string(longest, 'x')}}};
+    HttpHead manyFields{"GET", "/", {}};
+    manyFields.fields.resize(longest / shortestFieldBytes, {"a", ""});
+    for (const HttpHead &head : {longTarget, longField, manyFields}) {
+        CallMessage call = exampleCall();
+        call.payload.head = std::make_shared<const HttpHead>(head);
+        const std::error_code error = decodeResult(encodeFrame({call, TimePoint()}));
+        cr_expect_not(error, "%zu fields: %s", head.fields.size(), error.message().c_str());
+    }
+}
+
 Test(codec, keeps_load_costs_and_clearing_rank)
 {
     ResponseMessage response;
