A status out of range is not a response

What callers saw: a backend server in trouble sent an answer with status 000, and the caller got it as an answer.

Cause: the parser takes any three digits for a status, and HttpClient checked nothing of the head itself, so that 000 was a complete response. A status below 500 counts as an answer without an error.

Ruled out: the response writer and the codec of peer frames; both only pass on the status that HttpClient reports.

Change: HttpClient refuses a head whose status is not in 100 to 599 (RFC 9110, 15) before it reads the body, for all that read responses with it: backend servers, the store, the configuration service, the tool. The call may have run, so it ends with AnswerTruncated and status 502. The meaning of that code now names malformed answers, too.

Evidence: httpclient.a_status_out_of_range_is_not_a_response failed on the code as it was for 000, 001, 099, 600 and 999; its other rows passed already. It passes now, with all other tests of the client.

--- a/src/chervilpaddle/base/resultcode.cpp
+++ b/src/chervilpaddle/base/resultcode.cpp
@@ -77,7 +77,7 @@
          "The instance was replaced by a new incarnation after the ticket was bound.",
          502},
         {ResultCode::AnswerLost, "AnswerLost", "The backend server closed the connection without an answer.", 502},
-        {ResultCode::AnswerTruncated, "AnswerTruncated", "The backend server's answer was cut short.", 502},
+        {ResultCode::AnswerTruncated, "AnswerTruncated", "The backend server's answer was cut short or malformed.", 502},
         {ResultCode::TicketTooOld, "TicketTooOld", "The ticket is older than what the executor still remembers.", 409},
         {ResultCode::RepeatWithoutTicket, "RepeatWithoutTicket", "A repeat of a call that is not idempotent came without its ticket.", 409},
         {ResultCode::CancelledWhileRunning, "CancelledWhileRunning", "The caller cancelled while the call was running.", 499},
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -1,5 +1,6 @@
 #include <chervilpaddle/transport/httpclient.h>
 
+#include <chervilpaddle/base/httpsyntax.h>
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/base/units.h>
 #include <chervilpaddle/transport/pendinginput.h>
@@ -165,6 +166,9 @@
     void read()
     {
         http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            if (!error && !isHttpStatus(static_cast<int>(self->m_parser->get().result_int()))) {
+                error = http::error::bad_status;
+            }
             error ? self->handleRead(error) : self->readBody();
         });
     }
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -94,6 +94,36 @@
     }
 }
 
+//! A server in trouble may send a status that no response can have (RFC 9110, 15).
+Test(httpclient, a_status_out_of_range_is_not_a_response)
+{
+    struct Case
+    {
+        const char *status;
+        HttpStage expected;
+    };
+    const Case cases[] = {{"000", HttpStage::Truncated},
+                          {"001", HttpStage::Truncated},
+                          {"099", HttpStage::Truncated},
+                          {"200", HttpStage::Complete},
+                          {"299", HttpStage::Complete},
+                          {"404", HttpStage::Complete},
+                          {"599", HttpStage::Complete},
+                          {"600", HttpStage::Truncated},
+                          {"999", HttpStage::Truncated},
+                          {"-20", HttpStage::Truncated},
+                          {"2 0", HttpStage::Truncated},
+                          {"20", HttpStage::Truncated},
+                          {"2000", HttpStage::Truncated}};
+    for (const Case &c : cases) {
+        const Script script{"HTTP/1.1 " + std::string(c.status) + " OK\r\nContent-Length: 3\r\n\r\none"};
+        const auto exchanges = exchange({script, {responseB}}, {"a", "b"});
+        cr_expect_eq(exchanges.at(0).stage, c.expected, "%s: stage %d", c.status, static_cast<int>(exchanges.at(0).stage));
+        cr_expect(c.expected == HttpStage::Complete || exchanges.at(0).body.empty(), "%s: its body is passed on", c.status);
+        cr_expect_eq(exchanges.at(1).stage, HttpStage::Complete, "%s: the next request fails", c.status);
+    }
+}
+
 Test(httpclient, a_late_response_to_another_request_is_skipped)
 {
     const auto exchanges = exchange({{responseA}, {responseA + responseB}}, {"a", "b"});
