A head with a folded line is not a response

What callers saw: a backend server in trouble sent a head with a line that began with a blank, and the caller got it as an answer, with that line as a part of another field. Where the line was the Content-Length, the length was lost and the body ended with the connection.

Cause: the parser joins such a line to the field before it (obsolete line folding), after which it cannot be told from a value with a blank in it.

Ruled out: blanks and control bytes inside names, before colons and in values. The parser refuses them already; their rows stay in the test.

Change: HttpClient parses what it receives step by step, and looks for folded lines in each step before the parser joins them. RFC 9112, 5.2 lets a proxy discard such a response. It holds for all that use HttpClient.

Evidence: httpclient.a_malformed_field_line_is_not_a_response failed on the code as it was for the eight rows with a folded line, three of them because the request ended only at its timeout, and httpclient.a_folded_line_is_detected_however_the_head_is_cut failed, too. The other 18 rows passed already. All pass now.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/httpsyntax.h>
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/base/units.h>
+#include <chervilpaddle/transport/foldedlinedetector.h>
 #include <chervilpaddle/transport/pendinginput.h>
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +33,7 @@
 constexpr int maxSkippedResponses = 3;
 //! Bounds the memory for the ids of the requests that a connection has carried.
 constexpr std::size_t maxRequestsPerConnection = 1024;
+constexpr std::size_t maxReadBytes = 64 * kibibyte;
 
 //! Which request a response belongs to.
 enum class ResponseOrigin {
@@ -144,6 +147,8 @@
         m_parser.emplace();
         m_parser->header_limit(maxHeaderBytes);
         m_parser->body_limit(m_options.maxBodyBytes);
+        m_foldedLines = {};
+        m_examinedBytes = 0;
     }
 
     //! Reads while writing, because a server may respond before it has received the entire body.
@@ -162,22 +167,66 @@
         read();
     }
 
-    //! The parser loses the error of a content length over the limit unless the head is read on its own.
+    //! Parses what has been received, and receives more until the response is complete.
     void read()
     {
-        http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            if (!error && !isHttpStatus(static_cast<int>(self->m_parser->get().result_int()))) {
-                error = http::error::bad_status;
+        beast::error_code error;
+        while (!error && !m_parser->is_done() && m_buffer.size() != 0) {
+            parse(error);
+        }
+        if (m_parser->is_done() || (error && error != http::error::need_more)) {
+            handleRead(error);
+            return;
+        }
+        const std::size_t size = beast::read_size(m_buffer, maxReadBytes);
+        if (size == 0) {
+            handleRead(http::error::buffer_overflow);
+            return;
+        }
+        m_stream.async_read_some(m_buffer.prepare(size), [self = shared_from_this()](beast::error_code readError, std::size_t bytes) {
+            self->m_buffer.commit(bytes);
+            if (readError) {
+                self->handleReadError(readError);
+            } else {
+                self->read();
             }
-            error ? self->handleRead(error) : self->readBody();
         });
     }
 
-    void readBody()
+    //! Parses the buffer as far as possible. Head and body are parsed apart, as the parser loses the error of a content length over the
+    //! limit otherwise.
+    void parse(beast::error_code &error)
     {
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
-            self->handleRead(error);
-        });
+        const bool isInHead = !m_parser->is_header_done();
+        if (isInHead && hasFoldedLine()) {
+            error = http::error::bad_field;
+            return;
+        }
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        m_examinedBytes -= std::min(used, m_examinedBytes);
+        if (!error && isInHead && !isHttpStatus(static_cast<int>(m_parser->get().result_int()))) {
+            error = http::error::bad_status;
+        }
+    }
+
+    //! Examines what has been added to the buffer. The parser joins folded lines, so that they must be found before.
+    bool hasFoldedLine()
+    {
+        const std::string_view received(static_cast<const char *>(m_buffer.data().data()), m_buffer.size());
+        const bool isFolded = m_foldedLines.examine(received.substr(m_examinedBytes));
+        m_examinedBytes = received.size();
+        return isFolded;
+    }
+
+    void handleReadError(beast::error_code error)
+    {
+        if (error == asio::error::eof && m_parser->got_some()) {
+            // Completes a body that the end of the connection delimits.
+            error = {};
+            m_parser->put_eof(error);
+        }
+        handleRead(error);
     }
 
     void handleRead(beast::error_code error)
@@ -188,7 +237,7 @@
         if (error == http::error::body_limit) {
             result.stage = HttpStage::TooLarge;
         } else if (error) {
-            result.stage = m_parser->got_some() ? HttpStage::Truncated : HttpStage::Sent;
+            result.stage = m_parser->got_some() || m_buffer.size() != 0 ? HttpStage::Truncated : HttpStage::Sent;
         } else {
             HttpResponse response = takeResponse();
             const ResponseOrigin origin = originOf(response);
@@ -309,6 +358,9 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    FoldedLineDetector m_foldedLines;
+    //! How much of the buffer the detector has examined.
+    std::size_t m_examinedBytes = 0;
     std::chrono::steady_clock::time_point m_deadline;
     CompletionHandler m_completionHandler;
     bool m_cancelled = false;
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -124,6 +124,65 @@
     }
 }
 
+//! A server in trouble may send a head with a line that is no field: a proxy may neither pass it on nor join it to another field.
+Test(httpclient, a_malformed_field_line_is_not_a_response)
+{
+    struct Case
+    {
+        const char *description;
+        std::string lines;
+        HttpStage expected = HttpStage::Truncated;
+    };
+    const std::string length = "Content-Length: 3\r\n";
+    const Case cases[] = {
+        {"tabs and blanks around a value", "Name: \t value \t\r\n" + length, HttpStage::Complete},
+        {"empty value", "Name:\r\n" + length, HttpStage::Complete},
+        {"bytes above ASCII in a value", "Name: \xc3\xa9\xff\r\n" + length, HttpStage::Complete},
+        {"blank before a name", "Name: value\r\n Other: value\r\n" + length},
+        {"tab before a name", "Name: value\r\n\tOther: value\r\n" + length},
+        {"blank before a name, after an empty value", "Name:\r\n Other: value\r\n" + length},
+        {"blank before the length", "Name: value\r\n " + length},
+        {"tab before the length", "Name: value\r\n\t" + length},
+        {"line of a blank only", "Name: value\r\n \r\n" + length},
+        {"folded length", "Content-Length:\r\n 3\r\n"},
+        {"blank at the end of the head", length + "Name: value\r\n "},
+        {"blank before the first name", " Name: value\r\n" + length},
+        {"blank in a name", "Na me: value\r\n" + length},
+        {"blank before the colon", "Name : value\r\n" + length},
+        {"tab before the colon", "Name\t: value\r\n" + length},
+        {"control byte in a name", "Na\x01me: value\r\n" + length},
+        {"NUL in a name", std::string("Na\0me: value\r\n", 15) + length},
+        {"delete byte in a name", "Na\x7fme: value\r\n" + length},
+        {"byte above ASCII in a name", "Na\xe9me: value\r\n" + length},
+        {"control byte in the name of the length", "Content-\x01Length: 3\r\n"},
+        {"no name", ": value\r\n" + length},
+        {"no colon", "Name\r\n" + length},
+        {"control byte in a value", "Name: va\x01lue\r\n" + length},
+        {"NUL in a value", std::string("Name: va\0lue\r\n", 15) + length},
+        {"carriage return in a value", "Name: va\rlue\r\n" + length},
+        {"line feed in a value", "Name: va\nlue\r\n" + length},
+    };
+    for (const Case &c : cases) {
+        const Script script{"HTTP/1.1 200 OK\r\n" + c.lines + "\r\none"};
+        const auto start = steadyClock()();
+        const auto exchanges = exchange({script, {responseB}}, {"a", "b"});
+        cr_expect_eq(exchanges.at(0).stage, c.expected, "%s: stage %d", c.description, static_cast<int>(exchanges.at(0).stage));
+        cr_expect(c.expected == HttpStage::Complete || exchanges.at(0).body.empty(), "%s: its body is passed on", c.description);
+        cr_expect_eq(exchanges.at(1).stage, HttpStage::Complete, "%s: the next request fails", c.description);
+        cr_expect_lt(steadyClock()() - start, std::chrono::seconds(4), "%s: given up only at the timeout", c.description);
+    }
+}
+
+//! The blank may arrive apart from the end of the line before it.
+Test(httpclient, a_folded_line_is_detected_however_the_head_is_cut)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nName: value\r\n Other: value\r\nContent-Length: 3\r\n\r\n";
+    for (std::size_t length = 1; length < head.size(); ++length) {
+        const auto exchanges = exchange({{head.substr(0, length), false, false, {}, {}, head.substr(length) + "one"}}, {"a"});
+        cr_expect_eq(exchanges.at(0).stage, HttpStage::Truncated, "after %zu bytes", length);
+    }
+}
+
 Test(httpclient, a_late_response_to_another_request_is_skipped)
 {
     const auto exchanges = exchange({{responseA}, {responseA + responseB}}, {"a", "b"});
--- a/tests/transport/scriptedserver.h
+++ b/tests/transport/scriptedserver.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
@@ -26,6 +27,8 @@
     std::string endless = {};
     //! Written ahead of the bytes on a connection that has carried an earlier request.
     std::string earlierBytes = {};
+    //! Written some time after the bytes, in a segment of their own.
+    std::string laterBytes = {};
 };
 
 //! Loopback server that runs one script per request, regardless of the connection.
@@ -82,6 +85,10 @@
             const Script &script = m_scripts[m_next++];
             asio::write(*socket, asio::buffer((isKept ? script.earlierBytes : std::string()) + script.bytes));
             boost::system::error_code ignored;
+            if (!script.laterBytes.empty()) {
+                writeLater(socket, script);
+                return;
+            }
             if (!script.endless.empty()) {
                 flood(socket, std::make_shared<std::string>(tests::floodBlock(script.endless)));
                 return;
@@ -97,6 +104,16 @@
         });
     }
 
+    void writeLater(const std::shared_ptr<tcp::socket> &socket, const Script &script)
+    {
+        const auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), std::chrono::milliseconds(2));
+        timer->async_wait([this, timer, socket, script](const boost::system::error_code & /*error*/) {
+            boost::system::error_code ignored; // The client may have closed the connection.
+            asio::write(*socket, asio::buffer(script.laterBytes), ignored);
+            serve(socket, true);
+        });
+    }
+
     void flood(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &block)
     {
         asio::async_write(*socket, asio::buffer(*block), [this, socket, block](const boost::system::error_code &error, std::size_t bytes) {
