A trailer field does not change what the head says

What callers saw: a backend server that ran a call and sent its response in chunks with "Not-Executed" in the trailer was taken to have refused the call, which promises the caller that it has not run. A trailer with another id or a content coding turned a sound response into a failure, one with a signature vouched for a response without it, and any other trailer field, folded ones too, reached the caller as a field of the head.

Cause: the parser adds trailer fields to those of the head, and HttpClient took both once the body was complete.

Found by looking at the other ways in which a field can be joined to a head that did not hold it.

Change: HttpClient copies status and fields when the head is complete. Trailers are discarded, as RFC 9110, 6.5.1 allows.

Evidence: meshbackend.a_trailer_field_does_not_change_what_the_head_says failed on the code as it was in all rows with a trailer, among them "a trailer that says not run: BackendRefused". All rows pass now.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -205,8 +205,9 @@
         const std::size_t used = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(used);
         m_examinedBytes -= std::min(used, m_examinedBytes);
-        if (!error && isInHead && !isHttpStatus(static_cast<int>(m_parser->get().result_int()))) {
-            error = http::error::bad_status;
+        if (!error && isInHead) {
+            takeHead();
+            error = isHttpStatus(m_response.status) ? error : http::error::bad_status;
         }
     }
 
@@ -239,8 +240,7 @@
         } else if (error) {
             result.stage = m_parser->got_some() || m_buffer.size() != 0 ? HttpStage::Truncated : HttpStage::Sent;
         } else {
-            HttpResponse response = takeResponse();
-            const ResponseOrigin origin = originOf(response);
+            const ResponseOrigin origin = originOf(m_response);
             const bool isExpected = !isInterim() && origin != ResponseOrigin::OtherRequest;
             if (!isExpected && maySkipResponse()) {
                 resetParser();
@@ -253,7 +253,8 @@
                 result.stage = HttpStage::Unidentified;
             } else {
                 result.stage = HttpStage::Complete;
-                result.response = std::move(response);
+                result.response = std::move(m_response);
+                result.response.body = std::move(m_parser->get().body());
             }
         }
         m_reusable = result.stage == HttpStage::Complete && mayReuseAfter(result.response);
@@ -330,16 +331,15 @@
         return coding != fields.end() && !beast::iequals(coding->value(), "chunked");
     }
 
-    HttpResponse takeResponse()
+    //! Copies status and fields before the parser adds the trailer to them: a trailer field must not change what the head says.
+    void takeHead()
     {
-        auto &message = m_parser->get();
-        HttpResponse response;
-        response.status = static_cast<int>(message.result_int());
-        for (const auto &field : message) {
-            response.headers.add(std::string(field.name_string()), std::string(field.value()));
+        const auto &head = m_parser->get();
+        m_response = {};
+        m_response.status = static_cast<int>(head.result_int());
+        for (const auto &field : head) {
+            m_response.headers.add(std::string(field.name_string()), std::string(field.value()));
         }
-        response.body = std::move(message.body());
-        return response;
     }
 
     void complete(HttpResult result)
@@ -358,6 +358,8 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    //! Status and fields of the response that is being received.
+    HttpResponse m_response;
     FoldedLineDetector m_foldedLines;
     //! How much of the buffer the detector has examined.
     std::size_t m_examinedBytes = 0;
--- a/tests/mesh/meshbackend.cpp
+++ b/tests/mesh/meshbackend.cpp
@@ -221,3 +221,33 @@
         cr_expect_eq(code, c.expected, "%s: %s", c.description, describe(code).name);
     }
 }
+
+//! Trailer fields follow the body, when the response has been classified by its head (RFC 9110, 6.5.1).
+Test(meshbackend, a_trailer_field_does_not_change_what_the_head_says)
+{
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n";
+    struct Case
+    {
+        const char *description;
+        std::string fields;
+        std::string trailer;
+        ResultCode expected;
+    };
+    const std::string signature = "Response-Signature: s\r\n";
+    const Case cases[] = {
+        {"no trailer", idOfA + signature, "", ResultCode::Done},
+        {"a trailer without a meaning", idOfA + signature, "Name: value\r\n", ResultCode::Done},
+        {"a folded trailer", idOfA + signature, "Name: value\r\n Other: value\r\n", ResultCode::Done},
+        {"a trailer that says not run", idOfA + signature, "Not-Executed: 1\r\n", ResultCode::Done},
+        {"a trailer with a content coding", idOfA + signature, "Content-Encoding: gzip\r\n", ResultCode::Done},
+        {"a trailer that names another request", idOfA + signature, idOfB, ResultCode::Done},
+        {"the request's id in the trailer only", signature, idOfA, ResultCode::AnswerUnverified},
+        {"the signature in the trailer only", idOfA, signature, ResultCode::AnswerUnverified},
+    };
+    for (const Case &c : cases) {
+        const BackendResult result = run({{"HTTP/1.1 200 OK\r\n" + c.fields + chunks + c.trailer + "\r\n"}}, {"a"}).backend[0];
+        cr_expect_eq(result.code, c.expected, "%s: %s", c.description, describe(result.code).name);
+        const std::size_t fields = result.payload.head ? result.payload.head->fields.size() : 0;
+        cr_expect_eq(fields, c.expected == ResultCode::Done ? 2 : 0, "%s: %zu fields are passed on", c.description, fields);
+    }
+}
