An answer of a peer that is no HTTP response does not count as one

What callers would see: during a roll of restarts, a node of an older build that takes in a malformed response passes it on to the caller's node, and the caller gets status 000, or lines that the backend server put into a name or a value, as an answer.

Cause: the decoder of peer frames accepts any status up to 999 and any text as a field, and nothing checks them after that.

Ruled out: rejecting the frame. It would close the link, and end all calls on it for the fault of one backend server.

Change: an answer that counts as done must have a final status, tokens as names and values without control characters; otherwise it is decoded as AnswerTruncated without a payload. The link stays open.

Evidence: codec.an_answer_that_is_no_http_response_does_not_count_as_one failed on the code as it was in 15 rows. It passes now; all 364 tests without processes pass.

--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -1,8 +1,10 @@
 #include <chervilpaddle/peer/codec.h>
 
+#include <chervilpaddle/base/httpsyntax.h>
 #include <chervilpaddle/peer/internal/cborreader.h>
 #include <chervilpaddle/peer/internal/cborwriter.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <limits>
@@ -210,6 +212,14 @@
     return payload;
 }
 
+//! Returns whether the payload of an answer can be written as a final HTTP response.
+bool isHttpResponse(const Payload &payload)
+{
+    const auto isField = [](const auto &field) { return isHttpToken(field.first) && isHttpFieldValue(field.second); };
+    const bool hasValidFields = !payload.head || std::all_of(payload.head->fields.begin(), payload.head->fields.end(), isField);
+    return hasValidFields && isFinalHttpStatus(payload.status) && isHttpFieldValue(payload.contentType);
+}
+
 int decodeRetryAllowance(const CborValue &value)
 {
     const int allowance = decodeInt(value.at("allowance"));
@@ -347,6 +357,11 @@
         m.costs = decodeCosts(*costs);
     }
     m.payload = decodePayload(v);
+    // A peer of an older build passes on malformed responses. Rejecting the frame would close the link, and end all calls on it.
+    if (outcomeOf(m.code) == Outcome::Done && !isHttpResponse(m.payload)) {
+        m.code = ResultCode::AnswerTruncated;
+        m.payload = {};
+    }
     return m;
 }
 
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -336,3 +336,55 @@
         cr_expect(decodeResult(encoded(large)) == ResultCode::FrameTooLarge, "%zu", index);
     }
 }
+
+//! Peers of older builds pass on malformed responses of backend servers. The link stays open, as other calls are in flight on it.
+Test(codec, an_answer_that_is_no_http_response_does_not_count_as_one)
+{
+    struct Case
+    {
+        const char *description;
+        int status;
+        const char *name;
+        std::string value;
+        ResultCode expected;
+    };
+    const Case cases[] = {
+        {"a response", 200, "Name", "\t a value \xc3\xa9", ResultCode::Done},
+        {"an empty value", 204, "!#$%&'*+-.^_`|~09azAZ", "", ResultCode::Done},
+        {"a failure", 599, "Name", "value", ResultCode::Done},
+        {"no status", 0, "Name", "value", ResultCode::AnswerTruncated},
+        {"an interim status", 100, "Name", "value", ResultCode::AnswerTruncated},
+        {"a status below the range", 99, "Name", "value", ResultCode::AnswerTruncated},
+        {"a status above the range", 600, "Name", "value", ResultCode::AnswerTruncated},
+        {"a blank in a name", 200, "Na me", "value", ResultCode::AnswerTruncated},
+        {"a blank before a name", 200, " Name", "value", ResultCode::AnswerTruncated},
+        {"a control byte in a name", 200, "Na\x01me", "value", ResultCode::AnswerTruncated},
+        {"a colon in a name", 200, "Name:", "value", ResultCode::AnswerTruncated},
+        {"a byte above ASCII in a name", 200, "Na\xe9me", "value", ResultCode::AnswerTruncated},
+        {"no name", 200, "", "value", ResultCode::AnswerTruncated},
+        {"a further line in a value", 200, "Name", "value\r\nOther: value", ResultCode::AnswerTruncated},
+        {"a line feed in a value", 200, "Name", "value\nvalue", ResultCode::AnswerTruncated},
+        {"a control byte in a value", 200, "Name", "val\x01ue", ResultCode::AnswerTruncated},
+        {"a NUL in a value", 200, "Name", std::string("val\0ue", 6), ResultCode::AnswerTruncated},
+        {"a delete byte in a value", 200, "Name", "val\x7fue", ResultCode::AnswerTruncated},
+    };
+    for (const Case &c : cases) {
+        ResponseMessage plain;
+        plain.payload = {c.status, "text/plain", std::make_shared<const std::string>("body"), nullptr};
+        plain.payload.head = std::make_shared<const HttpHead>(HttpHead{{}, {}, {{"First", "1"}, {c.name, c.value}}});
+        PeerFrame frame;
+        cr_assert_not(decodeFrame(encodeFrame({plain, TimePoint()}), frame), "%s: the frame is rejected", c.description);
+        const auto &decoded = std::get<ResponseMessage>(frame.message);
+        cr_expect_eq(decoded.code, c.expected, "%s: %s", c.description, describe(decoded.code).name);
+        cr_expect_eq(static_cast<bool>(decoded.payload.body), c.expected == ResultCode::Done, "%s: its body", c.description);
+    }
+    ResponseMessage typed;
+    typed.payload = {200, "text/plain\r\nOther: value", std::make_shared<const std::string>("body"), nullptr};
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({typed, TimePoint()}), frame));
+    cr_expect_eq(std::get<ResponseMessage>(frame.message).code, ResultCode::AnswerTruncated, "a further line in the media type");
+    ResponseMessage refusal;
+    refusal.code = ResultCode::Shed;
+    cr_assert_not(decodeFrame(encodeFrame({refusal, TimePoint()}), frame));
+    cr_expect_eq(std::get<ResponseMessage>(frame.message).code, ResultCode::Shed, "a refusal has no status");
+}
