A response that is reset during the upload is not complete

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset once. The pending write took the report, and the read that followed saw an end of stream, as after an orderly close. HttpClient ignored the error of the write.

Ruled out: a broken pipe as a sign of a reset. Linux reports it for a reset that follows the orderly end of the stream; a response that ended so is whole, and the test has such a row. A time-out and a cancellation end the read with an error of its own.

Change: at the end of the stream HttpClient waits for the result of the write, which it ends by closing the connection: that of a response without a length is of no further use. If the write failed with the connection, the response is truncated. Responses with a length or in chunks that are complete stay so, whatever became of the write. Connections that have delivered a response without a length are no longer kept as idle.

--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chervilpaddle {
@@ -59,6 +60,14 @@
     return std::chrono::seconds(seconds);
 }
 
+//! Returns whether a write has failed because the connection did, without an orderly end. A broken pipe says that the orderly end had
+//! been received before.
+bool isConnectionFailure(const beast::error_code &writeError)
+{
+    const bool isClosedHere = writeError == asio::error::operation_aborted || writeError == asio::error::bad_descriptor;
+    return writeError && !isClosedHere && writeError != asio::error::broken_pipe;
+}
+
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
@@ -123,6 +132,8 @@
         m_deadline = std::chrono::steady_clock::now() + timeout;
         m_skippedResponses = 0;
         m_reusable = false;
+        m_writeError = {};
+        m_hasEndOfStream = false;
         m_request = {};
         m_request.version(11);
         m_request.method_string(request.method);
@@ -160,9 +171,13 @@
         }
         m_stream.expires_at(m_deadline);
         m_writing = true;
-        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code /*error*/, std::size_t /*bytes*/) {
-            // A failed write is detected by the read, which may still return a response.
+        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, std::size_t /*bytes*/) {
+            // A failed write does not end the exchange, as a response may have been received.
             self->m_writing = false;
+            self->m_writeError = error;
+            if (std::exchange(self->m_hasEndOfStream, false)) {
+                self->handleEndOfStream();
+            }
         });
         read();
     }
@@ -222,8 +237,23 @@
 
     void handleReadError(beast::error_code error)
     {
-        if (error == asio::error::eof && m_parser->got_some()) {
-            // Completes a body that the end of the connection delimits.
+        if (error != asio::error::eof || !m_parser->got_some()) {
+            handleRead(error);
+        } else if (m_writing) {
+            // The write may have taken the report of a reset; its result is known once it has ended.
+            m_hasEndOfStream = true;
+            m_stream.close();
+        } else {
+            handleEndOfStream();
+        }
+    }
+
+    //! Completes a body that the end of the connection delimits. The system reports a failed connection only once: if a write has taken
+    //! the report, the next read sees an end of stream.
+    void handleEndOfStream()
+    {
+        beast::error_code error = m_writeError;
+        if (!isConnectionFailure(m_writeError)) {
             error = {};
             m_parser->put_eof(error);
         }
@@ -301,8 +331,8 @@
 
     bool mayReuseAfter(const HttpResponse &response) const
     {
-        return !m_writing && !m_cancelled && m_parser->get().keep_alive() && m_carriedIds.size() < maxRequestsPerConnection
-            && (!m_options.mayReuseAfter || m_options.mayReuseAfter(response));
+        return !m_writing && !m_cancelled && !isCloseDelimited() && m_parser->get().keep_alive()
+            && m_carriedIds.size() < maxRequestsPerConnection && (!m_options.mayReuseAfter || m_options.mayReuseAfter(response));
     }
 
     bool maySkipResponse()
@@ -368,6 +398,9 @@
     bool m_cancelled = false;
     bool m_reusable = false;
     bool m_writing = false;
+    beast::error_code m_writeError;
+    //! The end of the stream was received while the request was still being written.
+    bool m_hasEndOfStream = false;
     int m_skippedResponses = 0;
     //! The request without its body, to check whether a response belongs to it.
     HttpRequest m_sentRequest;
--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -210,6 +210,78 @@
     cr_assert_eq(connections, 2, "the announced idle timeout leaves no time for a reuse");
 }
 
+//! A server may respond before it has read a long request. The operating system reports a reset once, to a read or to a write.
+Test(httpclient, a_response_that_is_reset_during_the_upload_is_not_complete)
+{
+    constexpr std::size_t moreThanSocketBuffersHold = std::size_t{24} * 1024 * 1024;
+    constexpr int repetitions = 10;
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    const std::string noLength = head + "\r\n";
+    const std::string length = head + "Content-Length: 3\r\n\r\n";
+    const std::string chunks = head + "Transfer-Encoding: chunked\r\n\r\n";
+    enum class End { Open, Close, Reset, HalfClose, HalfCloseAndReset };
+    struct Case
+    {
+        const char *description;
+        std::string bytes;
+        End end;
+        HttpStage expected;
+        Duration timeout = std::chrono::seconds(5);
+    };
+    const Case cases[] = {
+        {"no length, reset", noLength + "one", End::Reset, HttpStage::Truncated},
+        {"no length and no body, reset", noLength, End::Reset, HttpStage::Truncated},
+        {"no length, closed with unread input", noLength + "one", End::Close, HttpStage::Truncated},
+        {"no length, never ended", noLength + "one", End::Open, HttpStage::Truncated, std::chrono::milliseconds(50)},
+        {"no length, ended, upload read on", noLength + "one", End::HalfClose, HttpStage::Complete},
+        {"no length, ended, then reset", noLength + "one", End::HalfCloseAndReset, HttpStage::Complete},
+        {"length, reset", length + "one", End::Reset, HttpStage::Complete},
+        {"length, closed with unread input", length + "one", End::Close, HttpStage::Complete},
+        {"length, upload read on", length + "one", End::Open, HttpStage::Complete},
+        {"part of the length, reset", length + "on", End::Reset, HttpStage::Truncated},
+        {"part of the length, ended", length + "on", End::HalfClose, HttpStage::Truncated},
+        {"chunks, reset", chunks + "3\r\none\r\n0\r\n\r\n", End::Reset, HttpStage::Complete},
+        {"part of the chunks, reset", chunks + "3\r\none\r\n", End::Reset, HttpStage::Truncated},
+        {"part of the chunks, ended", chunks + "3\r\none\r\n", End::HalfClose, HttpStage::Truncated},
+        {"part of the head, reset", head, End::Reset, HttpStage::Truncated},
+        {"no response, reset", "", End::Reset, HttpStage::Sent},
+    };
+    const std::string upload(moreThanSocketBuffersHold, 'u');
+    for (const Case &c : cases) {
+        for (int i = 0; i < repetitions; ++i) {
+            Script script{c.bytes};
+            script.closes = c.end == End::Close;
+            script.resets = c.end == End::Reset || c.end == End::HalfCloseAndReset;
+            script.halfCloses = c.end == End::HalfClose || c.end == End::HalfCloseAndReset;
+            script.endsLater = i % 2 == 0;
+            asio::io_context context;
+            ScriptedServer server(context, {script});
+            HttpClient::Options options;
+            options.address = server.address();
+            options.maxBodyBytes = 1024;
+            options.acceptsCloseDelimitedBodies = true;
+            HttpClient client(context, options);
+            HttpRequest request;
+            request.method = "PUT";
+            request.body = upload;
+            HttpResult received;
+            client.send(std::move(request), c.timeout, [&](const HttpResult &result) {
+                received = result;
+                context.stop();
+            });
+            context.run();
+            cr_expect_eq(received.stage,
+                         c.expected,
+                         "%s, ended %s, repetition %d: stage %d",
+                         c.description,
+                         script.endsLater ? "later" : "at once",
+                         i,
+                         static_cast<int>(received.stage));
+            cr_assert(c.expected != HttpStage::Complete || received.response.body == "one", "%s: part of its body", c.description);
+        }
+    }
+}
+
 //! A server in trouble may send bytes without end, in a head or in a body. The client gives up long before its timeout, does not
 //! buffer them, and does not take them for a response or for proof that the request has not run.
 Test(httpclient, bytes_without_end_are_cut_off)
--- a/tests/transport/scriptedserver.h
+++ b/tests/transport/scriptedserver.h
@@ -22,6 +22,7 @@
 {
     std::string bytes;
     bool closes = false;
+    //! Resets the connection; after its orderly end if it also half-closes.
     bool resets = false;
     //! Repeated after the bytes until the client closes the connection.
     std::string endless = {};
@@ -29,9 +30,13 @@
     std::string earlierBytes = {};
     //! Written some time after the bytes, in a segment of their own.
     std::string laterBytes = {};
+    //! Ends the stream to the client, but keeps the connection open.
+    bool halfCloses = false;
+    //! Ends the connection some time after the bytes, although there are none to be written later.
+    bool endsLater = false;
 };
 
-//! Loopback server that runs one script per request, regardless of the connection.
+//! Loopback server that runs one script per request, regardless of the connection. Reads on without responding after the last one.
 class ScriptedServer
 {
 public:
@@ -79,41 +84,51 @@
     {
         const auto buffer = std::make_shared<std::vector<char>>(65536);
         socket->async_read_some(asio::buffer(*buffer), [this, socket, isKept, buffer](const boost::system::error_code &error, std::size_t) {
-            if (error || m_next == m_scripts.size()) {
+            if (error) {
                 return;
             }
-            const Script &script = m_scripts[m_next++];
-            asio::write(*socket, asio::buffer((isKept ? script.earlierBytes : std::string()) + script.bytes));
-            boost::system::error_code ignored;
-            if (!script.laterBytes.empty()) {
-                writeLater(socket, script);
+            if (m_next == m_scripts.size()) {
+                serve(socket, isKept);
                 return;
             }
+            const Script &script = m_scripts[m_next++];
+            asio::write(*socket, asio::buffer((isKept ? script.earlierBytes : std::string()) + script.bytes));
             if (!script.endless.empty()) {
                 flood(socket, std::make_shared<std::string>(tests::floodBlock(script.endless)));
-                return;
-            }
-            if (script.resets) {
-                socket->set_option(asio::socket_base::linger(true, 0), ignored);
-            }
-            if (script.closes || script.resets) {
-                socket->close(ignored);
-                return;
+            } else if (script.endsLater || !script.laterBytes.empty()) {
+                finishLater(socket, script);
+            } else {
+                finish(socket, script);
             }
-            serve(socket, true);
         });
     }
 
-    void writeLater(const std::shared_ptr<tcp::socket> &socket, const Script &script)
+    void finishLater(const std::shared_ptr<tcp::socket> &socket, const Script &script)
     {
         const auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), std::chrono::milliseconds(2));
-        timer->async_wait([this, timer, socket, script](const boost::system::error_code & /*error*/) {
+        timer->async_wait([this, timer, socket, &script](const boost::system::error_code & /*error*/) {
             boost::system::error_code ignored; // The client may have closed the connection.
             asio::write(*socket, asio::buffer(script.laterBytes), ignored);
-            serve(socket, true);
+            finish(socket, script);
         });
     }
 
+    void finish(const std::shared_ptr<tcp::socket> &socket, const Script &script)
+    {
+        boost::system::error_code ignored;
+        if (script.halfCloses) {
+            socket->shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        if (script.resets) {
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        if (script.closes || script.resets) {
+            socket->close(ignored);
+        } else {
+            serve(socket, true);
+        }
+    }
+
     void flood(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &block)
     {
         asio::async_write(*socket, asio::buffer(*block), [this, socket, block](const boost::system::error_code &error, std::size_t bytes) {
