Responses that are received share a bounded memory

What callers saw: a faulty backend server sent bytes without end in place of answers.

Cause: each response has a bound, but all of them together had none, as HttpServer has for requests.

Ruled out: a lower bound for each response. Sound ones of some MiB must pass, and with 120 slots any such bound allows too much in total. Refusing the latest: it would end the sound responses of others for the fault of one backend server.

Change: ResponseMemory decides which responses are given up once all take 40 MiB on the mesh (48 MiB are for requests, and the smallest machine has 160 MB) or 256 MiB in a process of the own interface: the largest of those that announce no length, while these take more than a quarter; then those that have been held for longest. HttpClient takes a share for what it has received, and closes the connection of a response that is given up. Its call may have run: AnswerTooLarge, status 502. Two metrics tell of it.

--- a/src/chervilpaddle/mesh/meshbackend.cpp
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -1,6 +1,7 @@
 #include <chervilpaddle/mesh/meshbackend.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -13,7 +14,7 @@
 //! Shortest idle time-out in common use; applies if the server announces none.
 constexpr Duration maxIdleTime = std::chrono::seconds(4);
 
-HttpClient::Options clientOptions(const Endpoint &address, const PlatformProtocol &protocol)
+HttpClient::Options clientOptions(const Endpoint &address, const PlatformProtocol &protocol, std::shared_ptr<ResponseMemory> responseMemory)
 {
     HttpClient::Options options;
     options.address = address;
@@ -23,17 +24,22 @@
     options.acceptsCloseDelimitedBodies = true;
     options.requestIdHeader = protocol.requestIdHeader;
     options.requiresRequestId = true;
+    options.responseMemory = std::move(responseMemory);
     return options;
 }
 
 } // namespace
 
-MeshBackend::MeshBackend(
-    boost::asio::io_context &context, const Endpoint &address, const PlatformProtocol &protocol, Clock clock, Finished finished)
+MeshBackend::MeshBackend(boost::asio::io_context &context,
+                         const Endpoint &address,
+                         const PlatformProtocol &protocol,
+                         Clock clock,
+                         std::shared_ptr<ResponseMemory> responseMemory,
+                         Finished finished)
     : m_protocol(protocol)
     , m_clock(std::move(clock))
     , m_finished(std::move(finished))
-    , m_client(context, clientOptions(address, protocol))
+    , m_client(context, clientOptions(address, protocol, std::move(responseMemory)))
 {
 }
 
--- a/src/chervilpaddle/mesh/meshbackend.h
+++ b/src/chervilpaddle/mesh/meshbackend.h
@@ -12,8 +12,12 @@
 public:
     using Finished = std::function<void(RunId, const BackendResult &)>;
 
-    MeshBackend(
-        boost::asio::io_context &context, const Endpoint &address, const PlatformProtocol &protocol, Clock clock, Finished finished);
+    MeshBackend(boost::asio::io_context &context,
+                const Endpoint &address,
+                const PlatformProtocol &protocol,
+                Clock clock,
+                std::shared_ptr<ResponseMemory> responseMemory,
+                Finished finished);
 
     //! Sends the run's request; `finished` is called when it has ended.
     void start(const Run &run);
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -40,6 +40,8 @@
 constexpr double clearingRankStep = 0.03;
 constexpr Duration clearingRankInterval = std::chrono::milliseconds(500);
 constexpr Duration clearingRankTickInterval = std::chrono::milliseconds(100);
+//! For all responses of backend servers together. With the memory for requests it fits into machines of 160 MB.
+constexpr std::size_t maxResponseBytes = 40 * mebibyte;
 constexpr std::size_t maxStoreResponseBytes = 4 * mebibyte;
 
 HttpClient::Options storeOptions(const Endpoint &address)
@@ -84,10 +86,12 @@
     , m_routes(std::make_shared<const RouteTable>())
     , m_trafficSplit(uniformFraction(m_random))
     , m_retryBudget(settings.retryBudget, m_clock)
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseBytes))
     , m_backend(context,
                 settings.backend,
                 protocol,
                 m_clock,
+                m_responseMemory,
                 [this](RunId run, const BackendResult &result) { m_executor->completeRun(run, result); })
     , m_storeClient(context, storeOptions(settings.platform))
 {
@@ -802,6 +806,11 @@
     return *m_routes;
 }
 
+const std::shared_ptr<ResponseMemory> &MeshCore::responseMemory() const
+{
+    return m_responseMemory;
+}
+
 const StoreReplication &MeshCore::replication() const
 {
     return *m_replication;
--- a/src/chervilpaddle/node/backendadapter.cpp
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -21,12 +22,13 @@
     return response.status == statusServiceUnavailable && response.headers.find(headers::notRun) != nullptr;
 }
 
-HttpClient::Options clientOptions(const Endpoint &address)
+HttpClient::Options clientOptions(const Endpoint &address, std::shared_ptr<ResponseMemory> responseMemory)
 {
     HttpClient::Options options;
     options.address = address;
     options.maxBodyBytes = maxBodyBytes;
     options.requestIdHeader = headers::context;
+    options.responseMemory = std::move(responseMemory);
     // A refusal that names no context must not be received a second time, in place of the response to another call.
     options.mayReuseAfter = [](const HttpResponse &response) {
         return !reportsNotRun(response) || response.headers.find(headers::context) != nullptr;
@@ -59,8 +61,12 @@
 
 } // namespace
 
-BackendAdapter::BackendAdapter(boost::asio::io_context &context, const Endpoint &address, Incarnation incarnation, Hooks hooks)
-    : m_client(context, clientOptions(address))
+BackendAdapter::BackendAdapter(boost::asio::io_context &context,
+                               const Endpoint &address,
+                               Incarnation incarnation,
+                               std::shared_ptr<ResponseMemory> responseMemory,
+                               Hooks hooks)
+    : m_client(context, clientOptions(address, std::move(responseMemory)))
     , m_healthClient(context, {address, maxHealthBodyBytes})
     , m_contextPrefix(std::to_string(incarnation.value()) + "-")
     , m_hooks(std::move(hooks))
--- a/src/chervilpaddle/node/backendadapter.h
+++ b/src/chervilpaddle/node/backendadapter.h
@@ -22,7 +22,11 @@
         std::function<Duration()> lateResponseTimeout;
     };
 
-    BackendAdapter(boost::asio::io_context &context, const Endpoint &address, Incarnation incarnation, Hooks hooks);
+    BackendAdapter(boost::asio::io_context &context,
+                   const Endpoint &address,
+                   Incarnation incarnation,
+                   std::shared_ptr<ResponseMemory> responseMemory,
+                   Hooks hooks);
 
     void start(const Run &run);
     void cancel(RunId run);
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -20,6 +20,8 @@
 //! A node becomes ready after this time even if a service that it calls is unreachable, as it can serve other calls.
 constexpr Duration maxWarmUpTime = std::chrono::seconds(3);
 constexpr Duration minLateResponseTimeout = std::chrono::seconds(5);
+//! For all responses of backend servers together.
+constexpr std::size_t maxResponseBytes = 256 * mebibyte;
 
 } // namespace
 
@@ -31,9 +33,11 @@
     , m_random(entropySeed())
     , m_incarnation(randomIdentifier(m_random))
     , m_rates(std::make_shared<const RateTable>(ContractBundle(), InstanceList()))
+    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseBytes))
     , m_backend(context,
                 settings.backend,
                 m_incarnation,
+                m_responseMemory,
                 {m_clock,
                  [this](RunId run, const BackendResult &result) { runFinished(run, result); },
                  [this] { drain("backend server"); },
@@ -448,6 +452,11 @@
     return *m_executor;
 }
 
+const std::shared_ptr<ResponseMemory> &NodeCore::responseMemory() const
+{
+    return m_responseMemory;
+}
+
 const Router &NodeCore::router() const
 {
     return *m_router;
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -72,6 +72,8 @@
     const NodeSettings &settings() const;
     const Executor &executor() const;
     const Router &router() const;
+    //! The memory for the responses of backend servers; outlives this object where it is shared.
+    const std::shared_ptr<ResponseMemory> &responseMemory() const;
     const LinkController &links() const;
     const ConfigurationSync &sync() const;
     const ConfigurationController &configuration() const;
@@ -128,6 +130,7 @@
     ConfigurationController m_configuration;
     MembershipController m_membership;
     RcuCell<RateTable> m_rates;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     BackendAdapter m_backend;
     ConfigurationClient m_configurationClient;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -103,6 +103,10 @@
     {
         scrapeExecutor(core.executor());
         scrapeRouter(core.router());
+        gauge("chervilpaddle_response_memory_bytes",
+              "Memory that answers of backend servers take",
+              static_cast<double>(core.responseMemory()->heldBytes()));
+        counter("chervilpaddle_responses_given_up_total", "Answers for which there was no memory left", core.responseMemory()->givenUp());
         gauge("chervilpaddle_links", "Open links to peers", static_cast<double>(core.links().linkCount()));
         scrapeTraffic("chervilpaddle_peer_sent", "sent to peers", core.transport().sent());
         scrapeTraffic("chervilpaddle_peer_received", "received from peers", core.transport().received());
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -193,6 +193,10 @@
             handleRead(error);
             return;
         }
+        if (!holdReceived()) {
+            handleRead(http::error::body_limit);
+            return;
+        }
         const std::size_t size = beast::read_size(m_buffer, maxReadBytes);
         if (size == 0) {
             handleRead(http::error::buffer_overflow);
@@ -226,6 +230,42 @@
         }
     }
 
+    //! Returns whether there is memory for what has been received so far.
+    bool holdReceived()
+    {
+        if (!m_options.responseMemory) {
+            return true;
+        }
+        if (!m_memoryShare) {
+            m_memoryShare = m_options.responseMemory->hold([self = weak_from_this(), executor = m_stream.get_executor()] {
+                asio::post(executor, [self] {
+                    if (const auto connection = self.lock(); connection) {
+                        connection->closeIfGivenUp();
+                    }
+                });
+            });
+        }
+        const bool isOpenEnded = m_parser->is_header_done() && !m_parser->content_length();
+        const std::string &body = m_parser->get().body();
+        // A body without a length grows in leaps, one with a length is reserved at once, although most of it may never arrive.
+        const std::size_t bodyBytes = isOpenEnded ? body.capacity() : body.size();
+        return m_memoryShare->update(isOpenEnded ? ResponseMemory::Use::ReceivingOpenEnded : ResponseMemory::Use::Receiving,
+                                     m_buffer.capacity() + bodyBytes);
+    }
+
+    //! The share may belong to a later exchange than that which was given up.
+    bool isGivenUp() const
+    {
+        return m_memoryShare && m_memoryShare->isGivenUp();
+    }
+
+    void closeIfGivenUp()
+    {
+        if (isGivenUp()) {
+            m_stream.close();
+        }
+    }
+
     //! Examines what has been added to the buffer. The parser joins folded lines, so that they must be found before.
     bool hasFoldedLine()
     {
@@ -265,7 +305,7 @@
         HttpResult result;
         result.cancelled = m_cancelled;
         result.timedOut = error == beast::error::timeout;
-        if (error == http::error::body_limit) {
+        if (error == http::error::body_limit || (error && isGivenUp())) {
             result.stage = HttpStage::TooLarge;
         } else if (error) {
             result.stage = m_parser->got_some() || m_buffer.size() != 0 ? HttpStage::Truncated : HttpStage::Sent;
@@ -374,6 +414,7 @@
 
     void complete(HttpResult result)
     {
+        m_memoryShare.reset();
         if (!m_reusable) {
             m_stream.close();
         } else {
@@ -388,6 +429,7 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    std::unique_ptr<ResponseMemory::Share> m_memoryShare;
     //! Status and fields of the response that is being received.
     HttpResponse m_response;
     FoldedLineDetector m_foldedLines;
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -4,6 +4,7 @@
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
 #include <chervilpaddle/controllers/instancelist.h>
+#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,7 @@
     NotSent, //!< Nothing was sent: the server cannot have run the request.
     Sent, //!< The request may have reached the server; no response was received.
     Truncated, //!< The response is truncated or malformed, or its end cannot be determined.
-    TooLarge, //!< The response exceeds the size limit.
+    TooLarge, //!< The response exceeds the size limit, or was given up as the memory for responses was used up.
     Unidentified, //!< A response was received that may belong to an earlier request.
     Complete, //!< The complete response was received.
 };
@@ -61,6 +62,8 @@
         bool requiresRequestId = false;
         //! Returns whether the connection may be reused after a complete response. If not set, it always may.
         std::function<bool(const HttpResponse &)> mayReuseAfter = nullptr;
+        //! Bounds the memory of the responses that are being received, together with others. If not set, only each of them is bounded.
+        std::shared_ptr<ResponseMemory> responseMemory = nullptr;
     };
     using Callback = std::function<void(HttpResult)>;
 
--- a/tests/mesh/meshbackend.cpp
+++ b/tests/mesh/meshbackend.cpp
@@ -3,8 +3,12 @@
 #include <chervilpaddle/mesh/meshbackend.h>
 #include <platform/platformprotocol.h>
 
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <map>
+#include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace chervilpaddle;
@@ -29,7 +33,7 @@
     const PlatformProtocol protocol = platform::platformProtocol();
     Results results;
     std::function<void()> next;
-    MeshBackend backend(context, server.address(), protocol, steadyClock(), [&](RunId /*id*/, const BackendResult &result) {
+    MeshBackend backend(context, server.address(), protocol, steadyClock(), nullptr, [&](RunId /*id*/, const BackendResult &result) {
         results.backend.push_back(result);
         next();
     });
@@ -251,3 +255,91 @@
         cr_expect_eq(fields, c.expected == ResultCode::Done ? 2 : 0, "%s: %zu fields are passed on", c.description, fields);
     }
 }
+
+namespace {
+
+//! Runs one call for each script, all at the same time, and returns how they ended.
+std::map<RunId, BackendResult> runAll(const std::vector<Script> &scripts, const std::shared_ptr<ResponseMemory> &memory, Duration deadline)
+{
+    asio::io_context context;
+    asio::io_context serverContext;
+    std::map<RunId, BackendResult> results;
+    std::size_t peakBytes = 0;
+    const PlatformProtocol protocol = platform::platformProtocol();
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::vector<std::unique_ptr<MeshBackend>> backends;
+    for (const Script &script : scripts) {
+        const RunId id(servers.size() + 1);
+        servers.push_back(std::make_unique<ScriptedServer>(serverContext, std::vector<Script>{script}));
+        backends.push_back(std::make_unique<MeshBackend>(
+            context, servers.back()->address(), protocol, steadyClock(), memory, [&](RunId run, const BackendResult &result) {
+                results[run] = result;
+            }));
+        HttpHead head{"GET", "/x", {{"Host", "h.example"}, {"Request-Id", "a"}}};
+        Run run;
+        run.id = id;
+        run.deadline = steadyClock()() + deadline;
+        run.call.payload.head = std::make_shared<const HttpHead>(std::move(head));
+        backends.back()->start(run);
+    }
+    // Of its own, as it writes long responses without returning.
+    std::thread serverThread([&serverContext] { serverContext.run(); });
+    while (results.size() < scripts.size()) {
+        context.run_one();
+        peakBytes = std::max(peakBytes, memory->heldBytes());
+    }
+    serverContext.stop();
+    serverThread.join();
+    cr_expect_leq(peakBytes, 8 * mebibyte, "%zu bytes are held", peakBytes);
+    cr_expect_eq(memory->heldBytes(), 0, "%zu bytes stay held", memory->heldBytes());
+    return results;
+}
+
+} // namespace
+
+//! Each endless response is below the limit of a single one, but all together are not. They end at once, and no sound one with them.
+Test(meshbackend, endless_responses_at_the_same_time_do_not_use_up_the_memory)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string body(mebibyte, 'b');
+    std::vector<Script> scripts;
+    for (int i = 0; i < 8; ++i) {
+        scripts.push_back({head + "\r\n", false, false, "xyz"});
+        scripts.push_back({chunked, false, false, "10\r\n0123456789abcdef\r\n"});
+        scripts.push_back({head, false, false, "Name: value\r\n"});
+    }
+    const std::size_t endless = scripts.size();
+    const auto half = static_cast<std::ptrdiff_t>(body.size() / 2);
+    for (int i = 0; i < 3; ++i) {
+        Script slow{head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, half)};
+        slow.laterBytes = body.substr(half);
+        scripts.push_back(slow);
+        scripts.push_back({chunked + "3\r\none\r\n0\r\n\r\n"});
+    }
+    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    const auto start = steadyClock()();
+    const auto results = runAll(scripts, memory, std::chrono::seconds(30));
+    cr_expect_lt(steadyClock()() - start, std::chrono::seconds(20), "given up only at the deadline");
+    for (const auto &[run, result] : results) {
+        const bool isEndless = run.value() <= endless;
+        cr_expect_eq(outcomeOf(result.code),
+                     isEndless ? Outcome::Unknown : Outcome::Done,
+                     "response %zu: %s",
+                     static_cast<std::size_t>(run.value()),
+                     describe(result.code).name);
+    }
+    cr_expect_gt(memory->givenUp(), 0);
+}
+
+Test(meshbackend, large_sound_responses_at_the_same_time_are_all_received)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n";
+    const std::string body(mebibyte - 64 * kibibyte, 'b');
+    std::vector<Script> scripts(8, {head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
+    const auto results = runAll(scripts, std::make_shared<ResponseMemory>(8 * mebibyte), std::chrono::seconds(30));
+    for (const auto &[run, result] : results) {
+        cr_expect_eq(result.code, ResultCode::Done, "%s", describe(result.code).name);
+        cr_expect(result.payload.body && *result.payload.body == body);
+    }
+}
--- a/tests/node/backendadapter.cpp
+++ b/tests/node/backendadapter.cpp
@@ -34,7 +34,7 @@
         results.codes.push_back(result.code);
         next();
     };
-    BackendAdapter backend(context, server.address(), Incarnation(7), hooks);
+    BackendAdapter backend(context, server.address(), Incarnation(7), nullptr, hooks);
     next = [&] {
         if (results.codes.size() == scripts.size()) {
             context.stop();
