An instance whose answers are too large is ejected like one that loses them

What callers saw: calls went on to an instance whose backend server sent without end, as each of them ended early and the instance looked fast.

Cause: the outlier detection counts lost and truncated answers as failures of their instance, but not those over the limit or given up for memory.

Change: AnswerTooLarge counts, too.

Evidence: in router.an_instance_whose_answers_break_off_in_any_way_is_ejected 298 of 300 calls went to such an instance; now 13, as with the two other codes.

--- a/src/chervilpaddle/controllers/router.cpp
+++ b/src/chervilpaddle/controllers/router.cpp
@@ -48,6 +48,7 @@
     case ResultCode::BackendUnreachable:
     case ResultCode::AnswerLost:
     case ResultCode::AnswerTruncated:
+    case ResultCode::AnswerTooLarge:
     case ResultCode::ExecutorGone:
         return true;
     default:
--- a/tests/controllers/router.cpp
+++ b/tests/controllers/router.cpp
@@ -293,6 +293,26 @@
     cr_assert(fixture.results.empty(), "some instances are still called when all of them fail");
 }
 
+//! An instance whose answers use up the memory of its node is as little use as one that loses them.
+Test(router, an_instance_whose_answers_break_off_in_any_way_is_ejected)
+{
+    constexpr int failuresBeforeEjection = 5;
+    // An ejection doubles from 1 s up to 32 s, and one call follows each.
+    constexpr int maxEjections = 9;
+    for (const ResultCode code : {ResultCode::AnswerLost, ResultCode::AnswerTruncated, ResultCode::AnswerTooLarge}) {
+        RouterFixture fixture;
+        int toFirst = 0;
+        for (int i = 0; i < 300; ++i) {
+            fixture.call(true, 0);
+            const bool first = fixture.sent.back().first == InstanceId("x-1");
+            toFirst += first ? 1 : 0;
+            fixture.time.runFor(std::chrono::milliseconds(first ? 1 : 500));
+            fixture.respondToLast(first ? code : ResultCode::Done);
+        }
+        cr_expect_leq(toFirst, failuresBeforeEjection + maxEjections, "%s: %d of 300 calls", describe(code).name, toFirst);
+    }
+}
+
 namespace {
 
 //! Three instances, of which the first has another backend server from some time on.
