Responses that wait for slow callers share the memory for responses

What callers would see: callers that do not read large answers make the node hold all of them, until it runs out of memory and is ended.

Cause: nothing bounded the responses that HttpServer is sending.

Change: each takes a share of the memory for responses. When it is used up, the connection whose response has been held for longest is closed (over_limit); a response that finds no room is replaced by a 502.

Now five are closed, and a caller that reads gets its whole response.

--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -83,6 +83,7 @@
     HttpServer::Options callersOptions()
     {
         HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes);
+        options.responseMemory = m_core.responseMemory();
         options.connectionClosed = [this](const ClosedConnection &closed) { m_core.handleClosedConnection(closed); };
         return options;
     }
--- a/src/chervilpaddle/node/node.cpp
+++ b/src/chervilpaddle/node/node.cpp
@@ -112,6 +112,7 @@
         HttpServer::Options options;
         options.address = address;
         options.maxBodyBytes = maxBodyBytes;
+        options.responseMemory = m_core.responseMemory();
         options.connectionClosed = [this](const ClosedConnection &closed) { logClosedConnection(m_log, closed); };
         return options;
     }
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -384,6 +384,9 @@
 
     void write(HttpResponse response)
     {
+        if (!holdResponse(response)) {
+            response = lastResponse(ResultCode::AnswerTooLarge);
+        }
         enter(ConnectionPhase::Responding);
         m_disconnectHandler = nullptr;
         m_response = std::make_unique<http::response<http::string_body>>();
@@ -409,6 +412,7 @@
         m_stream.expires_after(writeTimeout);
         http::async_write(m_stream, *m_response, unlessSuperseded([this](beast::error_code error) {
                               m_response.reset();
+                              m_memoryShare.reset();
                               if (error) {
                                   close(CloseReason::WriteError, error);
                               } else {
@@ -417,6 +421,34 @@
                           }));
     }
 
+    //! Returns whether there is memory for a response until the client has read it.
+    bool holdResponse(const HttpResponse &response)
+    {
+        if (!m_state->options.responseMemory || response.body.empty()) {
+            return true;
+        }
+        m_memoryShare = m_state->options.responseMemory->hold([self = weak_from_this(), executor = executor()] {
+            asio::post(executor, [self] {
+                if (const auto session = self.lock(); session) {
+                    session->closeIfGivenUp();
+                }
+            });
+        });
+        const bool isHeld = m_memoryShare->update(ResponseMemory::Use::Sending, response.body.capacity());
+        if (!isHeld) {
+            m_memoryShare.reset();
+        }
+        return isHeld;
+    }
+
+    //! The share may belong to a later response than that which was given up.
+    void closeIfGivenUp()
+    {
+        if (m_memoryShare && m_memoryShare->isGivenUp()) {
+            close(CloseReason::OverLimit);
+        }
+    }
+
     //! Half-closes the connection and reads on until the client closes it, too: closing it with unread input would reset it, which
     //! can destroy the response on its way.
     void closeGracefully()
@@ -478,6 +510,7 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
+    std::unique_ptr<ResponseMemory::Share> m_memoryShare;
     std::function<void()> m_disconnectHandler;
     const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
     std::chrono::steady_clock::time_point m_lastRequestAt = m_openedAt;
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <chervilpaddle/base/units.h>
 #include <chervilpaddle/controllers/instancelist.h>
+#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/transport/closedconnection.h>
 #include <chervilpaddle/transport/httplimits.h>
 #include <chervilpaddle/transport/httpmessage.h>
@@ -51,6 +52,8 @@
         //! Called once for each connection that has ended, on the connection's thread; not for those that are still open when
         //! their context stops.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
+        //! Bounds the memory of the responses that are being sent, together with others. If not set, it is not bounded.
+        std::shared_ptr<ResponseMemory> responseMemory = nullptr;
     };
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -801,3 +801,53 @@
         context.run_one();
     }
 }
+
+//! Callers that do not read their responses must not use up the memory that others need.
+Test(httpserver, responses_that_are_not_read_do_not_use_up_the_memory)
+{
+    constexpr std::size_t bodyBytes = 8 * mebibyte;
+    constexpr int idleReaders = 6;
+    asio::io_context context;
+    const auto memory = std::make_shared<ResponseMemory>(20 * mebibyte);
+    std::vector<CloseReason> closed;
+    HttpServer::Options options;
+    options.address = {"127.0.0.1", freePort()};
+    options.responseMemory = memory;
+    options.connectionClosed = [&closed](const ClosedConnection &connection) { closed.push_back(connection.reason); };
+    int handled = 0;
+    HttpServer server({&context}, options, [&handled](const std::shared_ptr<HttpExchange> &exchange) {
+        ++handled;
+        exchange->respond(textResponse(200, "text/plain", std::string(bodyBytes, 'x')));
+    });
+    cr_assert_not(server.listen());
+    asio::io_context clientContext;
+    const auto request = [&](tcp::socket &client) {
+        client.connect({asio::ip::make_address(options.address.host), options.address.port});
+        send(client, "GET / HTTP/1.1\r\n\r\n");
+        for (const int before = handled; handled == before;) {
+            context.run_one();
+        }
+        context.poll();
+    };
+    std::vector<tcp::socket> idle;
+    for (int i = 0; i < idleReaders; ++i) {
+        request(idle.emplace_back(clientContext));
+        cr_expect_leq(memory->heldBytes(), 20 * mebibyte);
+    }
+    tcp::socket client(clientContext);
+    request(client);
+    client.non_blocking(true);
+    std::string block(mebibyte, '\0');
+    std::size_t received = 0;
+    boost::system::error_code error;
+    while (received < bodyBytes && (!error || error == asio::error::would_block)) {
+        received += client.read_some(asio::buffer(block), error);
+        context.poll();
+    }
+    cr_expect_geq(received, bodyBytes, "%zu bytes: %s", received, error.message().c_str());
+    cr_expect_eq(closed.size(), idleReaders - 1, "%zu connections are closed", closed.size());
+    for (const CloseReason reason : closed) {
+        cr_expect_eq(reason, CloseReason::OverLimit, "%s", toText(reason));
+    }
+    cr_expect_leq(memory->heldBytes(), bodyBytes + kibibyte);
+}
