Answers that wait for a slow peer share the memory for responses

What callers would see: a peer that stops reading makes the executor's node hold up to 33 MiB of answers for each link, until it runs out of memory and is ended.

Cause: the links have a bound each, but all together had none; and what websocketpp reports as buffered leaves out the frame that it is writing.

Ruled out: giving up frames that wait. websocketpp cannot take them back, and closing the link would end the calls of others.

Change: an answer takes a share of the memory for responses until the peer has returned a ping that follows it, which peers of older builds do, too. One that finds no room is sent without its payload, as AnswerTooLarge, so that the call ends at once.

Now it is held to two answers of 3 MiB, and peertransport.answers_to_a_peer_that_reads_are_all_sent_whole passes.

--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -49,7 +49,7 @@
 
 void NodeCore::makeControllers()
 {
-    m_transport = std::make_unique<PeerTransport>(m_context, makeTransportHooks(m_clock, m_links, m_log));
+    m_transport = std::make_unique<PeerTransport>(m_context, makeTransportHooks(m_clock, m_links, m_log), m_responseMemory);
     m_executor = std::make_unique<Executor>(Executor::Options{m_settings.instance, m_incarnation, initialSlots, m_settings.policy, {}},
                                             executorHooks());
     m_localCalls = std::make_unique<LocalCalls>(localCallsHooks());
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -1,10 +1,15 @@
 #include <chervilpaddle/transport/peertransport.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 #include <websocketpp/client.hpp>
 #include <websocketpp/concurrency/none.hpp>
 #include <websocketpp/config/core.hpp>
@@ -18,6 +23,8 @@
 
 //! A connection is closed when more data than this waits to be sent, because its peer does not read.
 constexpr std::size_t maxUnsentBytes = 4 * maxFrameBytes;
+//! Answers of this size are followed by a ping.
+constexpr std::size_t minMarkedBytes = 16 * kibibyte;
 constexpr const char *protocolVersion = "13"; // RFC 6455
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -67,9 +74,10 @@
 class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl>
 {
 public:
-    Impl(boost::asio::io_context &context, Hooks hooks)
+    Impl(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory)
         : m_context(context)
         , m_hooks(std::move(hooks))
+        , m_responseMemory(std::move(responseMemory))
         , m_acceptor(context)
         , m_acceptTimer(context)
     {
@@ -138,15 +146,20 @@
 
     void send(ConnectionId id, const PeerMessage &message)
     {
-        const std::string bytes = encodeFrame({message, m_hooks.clock()});
-        bool isSent = false;
-        if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
-            isSent = sendOn(m_client, outbound->second, id, bytes);
-        } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
-            isSent = sendOn(m_server, inbound->second, id, bytes);
+        const auto *answer = std::get_if<ResponseMessage>(&message);
+        if (!m_responseMemory || answer == nullptr || !answer->payload.body || answer->payload.body->empty()) {
+            sendFrame(id, message);
+            return;
         }
-        if (isSent) {
-            m_sent.record(message, bytes.size());
+        auto share = m_responseMemory->hold([] {}); // A committed share is never given up.
+        if (!share->update(ResponseMemory::Use::Committed, answer->payload.body->size())) {
+            ResponseMessage replacement = *answer;
+            replacement.code = ResultCode::AnswerTooLarge;
+            replacement.payload = {};
+            sendFrame(id, replacement);
+        } else if (sendFrame(id, message)) {
+            m_unreadAnswers[id].shares.push_back(std::move(share));
+            markAnswers(id, answer->payload.body->size());
         }
     }
 
@@ -218,6 +231,8 @@
     {
         connection.set_message_handler(
             [this, id](const connection_hdl & /*handle*/, const auto &message) { handleFrame(id, message->get_payload()); });
+        connection.set_pong_handler(
+            [this, id](const connection_hdl & /*handle*/, const std::string &payload) { releaseAnswers(id, payload); });
         connection.set_close_handler([this, id](const connection_hdl & /*handle*/) { removeConnection(id); });
     }
 
@@ -228,6 +243,61 @@
         connection.get_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     }
 
+    //! Returns false if there is no connection that accepts the frame.
+    bool sendFrame(ConnectionId id, const PeerMessage &message)
+    {
+        const std::string bytes = encodeFrame({message, m_hooks.clock()});
+        bool isSent = false;
+        if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
+            isSent = sendOn(m_client, outbound->second, id, bytes);
+        } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            isSent = sendOn(m_server, inbound->second, id, bytes);
+        }
+        if (isSent) {
+            m_sent.record(message, bytes.size());
+        }
+        return isSent;
+    }
+
+    //! websocketpp does not report when a frame has been written. A ping behind the answers is returned once the peer has read them.
+    void markAnswers(ConnectionId id, std::size_t bytes)
+    {
+        UnreadAnswers &unread = m_unreadAnswers[id];
+        unread.unmarkedBytes += bytes;
+        if (unread.unmarkedBytes < minMarkedBytes) {
+            return;
+        }
+        unread.unmarkedBytes = 0;
+        unread.marks.push_back({++m_lastMark, std::exchange(unread.shares, {})});
+        const std::string payload = std::to_string(m_lastMark);
+        if (const auto outbound = m_outbound.find(id); outbound != m_outbound.end()) {
+            pingOn(m_client, outbound->second, payload);
+        } else if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            pingOn(m_server, inbound->second, payload);
+        }
+    }
+
+    template<typename EndpointType>
+    static void pingOn(EndpointType &endpoint, const connection_hdl &handle, const std::string &payload)
+    {
+        websocketpp::lib::error_code ignored; // A connection that accepts no ping is being closed, which releases its answers.
+        endpoint.ping(handle, payload, ignored);
+    }
+
+    void releaseAnswers(ConnectionId id, const std::string &pong)
+    {
+        const auto unread = m_unreadAnswers.find(id);
+        if (unread == m_unreadAnswers.end()) {
+            return;
+        }
+        auto &marks = unread->second.marks;
+        const auto marked =
+            std::find_if(marks.begin(), marks.end(), [&pong](const Mark &mark) { return std::to_string(mark.number) == pong; });
+        if (marked != marks.end()) {
+            marks.erase(marks.begin(), std::next(marked));
+        }
+    }
+
     //! Returns false if the connection does not accept the frame.
     template<typename EndpointType>
     bool sendOn(EndpointType &endpoint, const connection_hdl &handle, ConnectionId id, const std::string &bytes)
@@ -295,13 +365,32 @@
     //! Reports the end of a connection, unless it has been reported.
     void removeConnection(ConnectionId id)
     {
+        m_unreadAnswers.erase(id);
         if (m_outbound.erase(id) + m_inbound.erase(id) != 0) {
             m_hooks.closed(id);
         }
     }
 
+    //! The shares of answers that are followed by the ping with this number.
+    struct Mark
+    {
+        std::uint64_t number = 0;
+        std::vector<std::unique_ptr<ResponseMemory::Share>> shares;
+    };
+    //! Answers that the peer may not have read.
+    struct UnreadAnswers
+    {
+        std::deque<Mark> marks;
+        //! Of those that no ping follows yet.
+        std::vector<std::unique_ptr<ResponseMemory::Share>> shares;
+        std::size_t unmarkedBytes = 0;
+    };
+
     boost::asio::io_context &m_context;
     Hooks m_hooks;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
+    std::unordered_map<ConnectionId, UnreadAnswers> m_unreadAnswers;
+    std::uint64_t m_lastMark = 0;
     tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
     Server m_server;
@@ -312,8 +401,8 @@
     std::unordered_map<ConnectionId, connection_hdl> m_inbound;
 };
 
-PeerTransport::PeerTransport(boost::asio::io_context &context, Hooks hooks)
-    : m_impl(std::make_shared<Impl>(context, std::move(hooks)))
+PeerTransport::PeerTransport(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory)
+    : m_impl(std::make_shared<Impl>(context, std::move(hooks), std::move(responseMemory)))
 {
 }
 
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chervilpaddle/controllers/linkcontroller.h>
+#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/peer/peertraffic.h>
 
 #include <boost/asio/io_context.hpp>
@@ -26,7 +27,8 @@
         std::function<void(ConnectionId, std::error_code)> frameRejected;
     };
 
-    PeerTransport(boost::asio::io_context &context, Hooks hooks);
+    //! Answers that wait for a peer take a share of `responseMemory`; without one, only each connection is bounded.
+    PeerTransport(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory = nullptr);
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
     PeerTransport &operator=(const PeerTransport &) = delete;
@@ -35,6 +37,7 @@
     std::error_code listen(const Endpoint &address);
     //! Opens an outbound connection; its outcome is reported by the hooks.
     ConnectionId dial(const Endpoint &address);
+    //! Sends a message. An answer for which there is no memory is replaced by one without its payload, with the code AnswerTooLarge.
     void send(ConnectionId connection, const PeerMessage &message);
     void close(ConnectionId connection);
     //! Stops accepting and closes all connections after pending frames have been written.
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -11,6 +11,8 @@
 #include <criterion/criterion.h>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -33,9 +35,12 @@
 class TransportPair
 {
 public:
-    explicit TransportPair(std::function<void(const PeerFrame &)> received)
+    //! The memory is for the answers of the transport that dials.
+    explicit TransportPair(std::function<void(const PeerFrame &)> received, std::shared_ptr<ResponseMemory> responseMemory = nullptr)
         : m_server(context, hooks(std::move(received), [](ConnectionId) {}))
-        , m_client(context, hooks([](const PeerFrame &) {}, [this](ConnectionId id) { m_client.send(id, HelloMessage()); }))
+        , m_client(context,
+                   hooks([](const PeerFrame &) {}, [this](ConnectionId id) { m_client.send(id, HelloMessage()); }),
+                   std::move(responseMemory))
     {
         cr_assert_not(m_server.listen(address));
     }
@@ -425,3 +430,87 @@
     cr_expect_eq(pair.b.opened.size(), openedBefore, "%zu opened after the shutdown", pair.b.opened.size() - openedBefore);
     cr_expect_eq(pair.b.closed[dialled], 1);
 }
+
+namespace {
+
+constexpr std::size_t largeBodyBytes = 3 * mebibyte;
+
+ResponseMessage largeAnswer()
+{
+    ResponseMessage answer;
+    answer.payload = {200, "text/plain", std::make_shared<const std::string>(largeBodyBytes, 'b')};
+    return answer;
+}
+
+} // namespace
+
+Test(peertransport, answers_to_a_peer_that_does_not_read_do_not_use_up_the_memory)
+{
+    asio::io_context context;
+    std::optional<ConnectionId> opened;
+    bool isClosed = false;
+    PeerTransport::Hooks hooks;
+    hooks.clock = [] { return TimePoint(); };
+    hooks.opened = [&opened](ConnectionId id, bool /*inbound*/) { opened = id; };
+    hooks.received = [](ConnectionId /*id*/, const PeerFrame & /*frame*/) {};
+    hooks.closed = [&isClosed](ConnectionId /*id*/) { isClosed = true; };
+    hooks.frameRejected = [](ConnectionId /*id*/, std::error_code /*error*/) {};
+    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    PeerTransport transport(context, hooks, memory);
+    const Endpoint address = freeAddress();
+    cr_assert_not(transport.listen(address));
+    asio::io_context peerContext;
+    tcp::socket peer(peerContext);
+    peer.connect({asio::ip::make_address(address.host), address.port});
+    asio::write(peer, asio::buffer(upgrade("13")));
+    while (!opened) {
+        context.run_one();
+    }
+    for (int i = 0; i < 20; ++i) {
+        transport.send(*opened, largeAnswer());
+        context.poll();
+    }
+    cr_expect_eq(memory->heldBytes(), 2 * largeBodyBytes, "%zu bytes are held", memory->heldBytes());
+    cr_expect_lt(
+        transport.sent().totalBytes(), 8 * mebibyte, "%zu bytes were sent", static_cast<std::size_t>(transport.sent().totalBytes()));
+    cr_expect_eq(memory->givenUp(), 18);
+    peer.close();
+    while (!isClosed) {
+        context.run_one();
+    }
+    cr_expect_eq(memory->heldBytes(), 0, "%zu bytes stay held", memory->heldBytes());
+}
+
+Test(peertransport, answers_to_a_peer_that_reads_are_all_sent_whole)
+{
+    constexpr int answers = 20;
+    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    int whole = 0;
+    int received = 0;
+    std::optional<ConnectionId> opened;
+    TransportPair pair(
+        [&](const PeerFrame &frame) {
+            if (const auto *answer = std::get_if<ResponseMessage>(&frame.message); answer != nullptr) {
+                ++received;
+                whole += answer->payload.body && answer->payload.body->size() == largeBodyBytes ? 1 : 0;
+            } else {
+                opened = ConnectionId(1);
+            }
+        },
+        memory);
+    const ConnectionId id = pair.dial();
+    while (!opened) {
+        pair.context.run_one();
+    }
+    while (received < answers) {
+        while (memory->heldBytes() + largeBodyBytes > 8 * mebibyte) {
+            cr_assert_gt(pair.context.run_one_for(patience), 0, "answers stay held after %d were received", received);
+        }
+        pair.send(id, largeAnswer());
+    }
+    cr_expect_eq(whole, received);
+    cr_expect_eq(memory->givenUp(), 0);
+    while (memory->heldBytes() != 0) {
+        cr_assert_gt(pair.context.run_one_for(patience), 0, "answers stay held");
+    }
+}
