--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -187,7 +187,7 @@
     {
         beast::error_code error;
         while (!error && !m_parser->is_done() && m_buffer.size() != 0) {
-            parse(error);
+            error = parse();
         }
         if (m_parser->is_done() || (error && error != http::error::need_more)) {
             handleRead(error);
@@ -212,25 +212,28 @@
         });
     }
 
-    //! Parses the buffer as far as possible. Head and body are parsed apart, as the parser loses the error of a content length over the
-    //! limit otherwise.
-    void parse(beast::error_code &error)
+    //! Parses the next part of the buffer: the head, or some of the body. The parser loses the error of a content length over the limit
+    //! if both are parsed at once.
+    beast::error_code parse()
     {
         const bool isInHead = !m_parser->is_header_done();
         if (isInHead && hasFoldedLine()) {
-            error = http::error::bad_field;
-            return;
+            return http::error::bad_field;
         }
+        beast::error_code error;
         const std::size_t used = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(used);
         m_examinedBytes -= std::min(used, m_examinedBytes);
         if (!error && isInHead) {
             takeHead();
-            error = isHttpStatus(m_response.status) ? error : http::error::bad_status;
+            if (!isHttpStatus(m_response.status)) {
+                return http::error::bad_status;
+            }
         }
+        return error;
     }
 
-    //! Returns whether there is memory for what has been received so far.
+    //! Takes memory for what has been received so far; returns whether there is enough.
     bool holdReceived()
     {
         if (!m_options.responseMemory) {
@@ -253,12 +256,12 @@
                                      m_buffer.capacity() + bodyBytes);
     }
 
-    //! The share may belong to a later exchange than that which was given up.
     bool isGivenUp() const
     {
         return m_memoryShare && m_memoryShare->isGivenUp();
     }
 
+    //! The exchange that was given up may have ended before this runs.
     void closeIfGivenUp()
     {
         if (isGivenUp()) {
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -421,7 +421,7 @@
                           }));
     }
 
-    //! Returns whether there is memory for a response until the client has read it.
+    //! Takes memory for a response until it has been sent; returns whether there is enough.
     bool holdResponse(const HttpResponse &response)
     {
         if (!m_state->options.responseMemory || response.body.empty()) {
@@ -441,7 +441,7 @@
         return isHeld;
     }
 
-    //! The share may belong to a later response than that which was given up.
+    //! The response that was given up may have been sent before this runs.
     void closeIfGivenUp()
     {
         if (m_memoryShare && m_memoryShare->isGivenUp()) {
