Test: damaged heads with a fixed seed

2,000 heads with up to three spoilt bytes: each is refused, or passed on with a valid status and fields that stand in a line of their own. Without the search for folded lines it fails.

--- a/tests/transport/httpclient.cpp
+++ b/tests/transport/httpclient.cpp
@@ -1,9 +1,14 @@
 #include "scriptedserver.h"
 
+#include <chervilpaddle/base/httpsyntax.h>
+#include <chervilpaddle/base/random.h>
 #include <chervilpaddle/transport/httpclient.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
+#include <iterator>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -19,6 +24,7 @@
 {
     HttpStage stage = HttpStage::NotSent;
     std::string body;
+    HttpResponse response = {};
 };
 
 //! Sends one request per id, sequentially, and returns how each ended.
@@ -44,7 +50,7 @@
         HttpRequest request;
         request.headers.add("Id", ids[exchanges.size()]);
         client.send(std::move(request), std::chrono::seconds(5), [&](const HttpResult &result) {
-            exchanges.push_back({result.stage, result.response.body});
+            exchanges.push_back({result.stage, result.response.body, result.response});
             next();
         });
     };
@@ -173,6 +179,41 @@
     }
 }
 
+//! What is passed on as a response can be written as one again, and each of its fields stands in a line of its own.
+Test(httpclient, a_damaged_head_is_refused_or_passed_on_as_it_is)
+{
+    constexpr int rounds = 2000;
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nFirst: one\r\nSecond:\r\nContent-Length: 3\r\n";
+    const std::string spoilt[] = {
+        " ", "\t", "\r\n", "\r", "\n", "\r\n ", ":", std::string(1, '\0'), "\x01", "\x7f", "\xe9", "0", "9", "\r\n\t"};
+    RandomSource random(30);
+    int complete = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::string damaged = head;
+        for (std::size_t changes = 1 + uniformIndex(random, 3); changes > 0; --changes) {
+            const std::size_t at = uniformIndex(random, damaged.size());
+            const std::string &bytes = spoilt[uniformIndex(random, std::size(spoilt))];
+            const std::size_t replaced = uniformIndex(random, 2) * bytes.size();
+            damaged.replace(at, replaced, bytes);
+        }
+        const Exchange exchanged = exchange({{damaged + "\r\none", true}}, {"a"}).at(0);
+        if (exchanged.stage != HttpStage::Complete) {
+            continue;
+        }
+        ++complete;
+        cr_expect(isHttpStatus(exchanged.response.status), "round %d: status %d", round, exchanged.response.status);
+        const std::string sentHead = damaged.substr(0, damaged.find("\r\n\r\n"));
+        for (const auto &[name, value] : exchanged.response.headers.fields()) {
+            cr_expect(isHttpToken(name) && isHttpFieldValue(value), "round %d: %s", round, name.c_str());
+            const auto line = sentHead.find("\r\n" + name + ":");
+            const std::string sent = sentHead.substr(std::min(line, sentHead.size()));
+            cr_expect_neq(sent.substr(0, sent.find("\r\n", 2)).find(value), std::string::npos, "round %d: %s", round, name.c_str());
+        }
+    }
+    cr_expect_gt(complete, rounds / 20, "%d heads are passed on", complete);
+    cr_expect_lt(complete, rounds, "%d heads are passed on", complete);
+}
+
 //! The blank may arrive apart from the end of the line before it.
 Test(httpclient, a_folded_line_is_detected_however_the_head_is_cut)
 {
