--- a/src/chervilpaddle/controllers/responsememory.h
+++ b/src/chervilpaddle/controllers/responsememory.h
@@ -10,7 +10,8 @@
 namespace chervilpaddle {
 
 //! Bounds the memory that all responses of a node take together, those that are received and those that wait for a reader. Once it is
-//! used up, responses are given up: first the largest of those that may have no end, then those that have been held for longest.
+//! used up, responses are given up: the largest of those that may have no end while these take more than a quarter of it, and then
+//! those that have been held for longest.
 //! Thread-safe. To be created as a shared pointer, as its shares keep it alive.
 class ResponseMemory : public std::enable_shared_from_this<ResponseMemory>
 {
@@ -23,8 +24,8 @@
         Committed, //!< It waits for its reader and can no longer be given up.
     };
 
-    //! The part of the memory that a response takes, released with this object. Not thread-safe, except that it may be given up by any
-    //! thread.
+    //! The part of the memory that a response takes, released with this object. To be used by one thread at a time; another one may
+    //! give it up meanwhile.
     class Share
     {
     public:
