Settings: memory of the machine; stand-in: crowds of clients that misbehave

The bounds of requests (48 MiB) and of responses (40 MiB) now follow from process.memory_mb, with the former values as the most, so that a small crowd can reach them in a test. Machines of 160 MiB or more keep them. `chervilpaddle-standin crowd` is the environment for such tests: the store, backend servers, crowds that behave as one row of a table says, and callers that send ordinary payments beside and after them.

--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -20,6 +20,7 @@
 #include <chervilpaddle/controllers/queueingdelayestimator.h>
 #include <chervilpaddle/controllers/ratelimiter.h>
 #include <chervilpaddle/controllers/requestcoalescer.h>
+#include <chervilpaddle/controllers/resourcebudget.h>
 #include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/controllers/retryallowance.h>
 #include <chervilpaddle/controllers/router.h>
--- /dev/null
+++ b/src/chervilpaddle/controllers/resourcebudget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chervilpaddle/base/units.h>
+
+#include <cstddef>
+
+namespace chervilpaddle {
+
+//! What a process may use of its machine.
+struct MachineResources
+{
+    std::size_t memoryBytes = 160 * mebibyte;
+};
+
+//! How a node divides its machine's resources among what clients and peers make it hold. The parts together stay below the
+//! machine's resources, whatever each of them is used for; docs/OPERATIONS.md lists them.
+struct ResourceBudget
+{
+    //! Requests of clients, from their first byte until their response.
+    std::size_t requestBytes = 0;
+    //! Responses of backend servers, from their first byte until they have been sent.
+    std::size_t responseBytes = 0;
+};
+
+//! Thread-safe.
+ResourceBudget divideResources(const MachineResources &machine);
+
+} // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -40,8 +40,6 @@
 constexpr double clearingRankStep = 0.03;
 constexpr Duration clearingRankInterval = std::chrono::milliseconds(500);
 constexpr Duration clearingRankTickInterval = std::chrono::milliseconds(100);
-//! For all responses of backend servers together. With the memory for requests it fits into machines of 160 MB.
-constexpr std::size_t maxResponseBytes = 40 * mebibyte;
 constexpr std::size_t maxStoreResponseBytes = 4 * mebibyte;
 
 HttpClient::Options storeOptions(const Endpoint &address)
@@ -86,7 +84,7 @@
     , m_routes(std::make_shared<const RouteTable>())
     , m_trafficSplit(uniformFraction(m_random))
     , m_retryBudget(settings.retryBudget, m_clock)
-    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseBytes))
+    , m_responseMemory(std::make_shared<ResponseMemory>(divideResources(settings.machine).responseBytes))
     , m_backend(context,
                 settings.backend,
                 protocol,
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -24,16 +24,14 @@
 constexpr Duration peerFlushTime = std::chrono::milliseconds(100);
 constexpr std::size_t maxOperatorBodyBytes = 64 * kibibyte;
 constexpr std::size_t maxConnections = 3000;
-//! Total size of buffered request bodies; bounds their share of the machine's memory.
-constexpr std::size_t maxBufferedBodyBytes = 48 * mebibyte;
 
-HttpServer::Options serverOptions(const Endpoint &address, std::size_t maxBodyBytes)
+HttpServer::Options serverOptions(const Endpoint &address, std::size_t maxBodyBytes, const ResourceBudget &budget)
 {
     HttpServer::Options options;
     options.address = address;
     options.maxBodyBytes = maxBodyBytes;
     options.maxConnections = maxConnections;
-    options.maxTotalBodyBytes = maxBufferedBodyBytes;
+    options.maxTotalBodyBytes = budget.requestBytes;
     return options;
 }
 
@@ -44,15 +42,18 @@
 public:
     Impl(const NodeSettings &settings, PlatformProtocol protocol, Reload reload)
         : m_settings(settings)
+        , m_budget(divideResources(settings.machine))
         , m_protocol(std::move(protocol))
         , m_reload(std::move(reload))
         , m_log(settings.instance, settings.logFormat, settings.logLevel)
         , m_core(m_context, settings, m_protocol, m_log)
         , m_callers({&m_context}, callersOptions(), [this](auto exchange) { m_core.handle(exchange); })
-        , m_readiness(
-              {&m_context}, serverOptions(settings.readiness, maxOperatorBodyBytes), [this](auto exchange) { handleReadiness(exchange); })
-        , m_operators(
-              {&m_context}, serverOptions(settings.operators, maxOperatorBodyBytes), [this](auto exchange) { handleOperator(exchange); })
+        , m_readiness({&m_context},
+                      serverOptions(settings.readiness, maxOperatorBodyBytes, m_budget),
+                      [this](auto exchange) { handleReadiness(exchange); })
+        , m_operators({&m_context},
+                      serverOptions(settings.operators, maxOperatorBodyBytes, m_budget),
+                      [this](auto exchange) { handleOperator(exchange); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
     {
@@ -82,7 +83,7 @@
 private:
     HttpServer::Options callersOptions()
     {
-        HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes);
+        HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes, m_budget);
         options.responseMemory = m_core.responseMemory();
         options.connectionClosed = [this](const ClosedConnection &closed) { m_core.handleClosedConnection(closed); };
         return options;
@@ -210,6 +211,7 @@
 
     const rcu::ThreadRegistration m_registration;
     NodeSettings m_settings;
+    ResourceBudget m_budget;
     PlatformProtocol m_protocol;
     Reload m_reload;
     EventLog m_log;
--- a/src/chervilpaddle/node/nodesettings.cpp
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -14,6 +14,8 @@
 
 constexpr int maxThreads = 64;
 constexpr double maxNumber = 1e6;
+constexpr std::size_t megabyte = 1'000'000;
+constexpr std::size_t minMemoryMegabytes = 64;
 const char *const interfaceContracts = "contracts";
 const char *const interfaceHttp = "http";
 
@@ -72,6 +74,7 @@
         m_keys["repeats.slack"] = numberKey(m_settings.retryBudget.slack);
         m_keys["repeats.window_seconds"] = secondsKey(m_settings.retryBudget.window);
         m_keys["process.stop_grace_seconds"] = secondsKey(m_settings.shutdownGracePeriod);
+        m_keys["process.memory_mb"] = sizeKey(m_settings.machine.memoryBytes, megabyte, minMemoryMegabytes);
         m_keys["process.threads"] = {false, [this](const std::string &v) { return parseThreads(v); }};
     }
 
@@ -143,6 +146,18 @@
                 }};
     }
 
+    static Key sizeKey(std::size_t &target, std::size_t unit, std::size_t min)
+    {
+        return {false, [&target, unit, min](const std::string &value) -> std::optional<std::string> {
+                    const auto number = parseNumber(value);
+                    if (!number || *number < static_cast<double>(min)) {
+                        return "a number from " + std::to_string(min) + " on";
+                    }
+                    target = static_cast<std::size_t>(*number) * unit;
+                    return std::nullopt;
+                }};
+    }
+
     std::optional<std::string> parseSeeds(const std::string &value)
     {
         m_settings.seeds.clear();
--- a/src/chervilpaddle/node/nodesettings.h
+++ b/src/chervilpaddle/node/nodesettings.h
@@ -3,6 +3,7 @@
 #include <chervilpaddle/base/problem.h>
 #include <chervilpaddle/controllers/instancelist.h>
 #include <chervilpaddle/controllers/policyswitches.h>
+#include <chervilpaddle/controllers/resourcebudget.h>
 #include <chervilpaddle/controllers/retrybudget.h>
 
 #include <optional>
@@ -35,6 +36,7 @@
     RetryBudget::Options retryBudget;
     //! Time between SIGTERM and the platform's kill of the process; plain HTTP only.
     Duration shutdownGracePeriod = std::chrono::seconds(10);
+    MachineResources machine;
     //! Threads that serve callers.
     int threads = 1;
     //! For benchmarks and tests only; not settable from the settings file.
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,3 +1,4 @@
+#include "crowdenvironment.h"
 #include "executioncheck.h"
 #include "meshenvironment.h"
 #include "standinbackend.h"
@@ -111,10 +112,12 @@
     return runUntilSignal(context);
 }
 
-int runMesh(const MeshEnvironmentOptions &options)
+//! Runs an environment of nodes that serve plain HTTP until its checks are done.
+template<typename Environment, typename Options>
+int runEnvironment(const Options &options)
 {
     boost::asio::io_context context;
-    MeshEnvironment environment(context, options);
+    Environment environment(context, options);
     if (const std::error_code error = environment.listen(); error) {
         return reportError(error);
     }
@@ -174,10 +177,29 @@
     meshCommand->add_option("--stop-calls", mesh.stopCalls, "What its callers do then: quiet, late, stuck");
     meshCommand->add_option("--spare", mesh.sparedInstances, "Instances to which callers do not send");
 
+    CrowdEnvironmentOptions crowd;
+    double crowdSeconds = 8;
+    auto *crowdCommand =
+        app.add_subcommand("crowd", "The store, backend servers and misbehaving clients round nodes that serve plain HTTP");
+    crowdCommand->add_option("--port", crowd.port, "The first of six ports")->required();
+    crowdCommand->add_option("--behaviour", crowd.behaviour)->required()->check([](const std::string &name) {
+        return findCrowdBehaviour(name) != nullptr ? std::string() : "'" + name + "' is no behaviour";
+    });
+    crowdCommand->add_option("--clients", crowd.clientsPerNode, "Clients of the crowd at each node");
+    crowdCommand->add_option("--nodes", crowd.nodes);
+    crowdCommand->add_option("--crowded", crowd.crowdedNodes, "Number of nodes with a crowd");
+    crowdCommand->add_option("--door", crowd.doorOffset, "Offset of the port that the crowd connects to");
+    crowdCommand->add_option("--target", crowd.target, "Path of the crowd's requests");
+    crowdCommand->add_option("--seconds", crowdSeconds, "How long the crowd stays");
+
     CLI11_PARSE(app, argc, argv);
     if (*meshCommand) {
         mesh.length = fromSeconds(meshSeconds);
-        return runMesh(mesh);
+        return runEnvironment<MeshEnvironment>(mesh);
+    }
+    if (*crowdCommand) {
+        crowd.length = fromSeconds(crowdSeconds);
+        return runEnvironment<CrowdEnvironment>(crowd);
     }
     if (*platformCommand) {
         return runPlatform(platform);
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -1,5 +1,7 @@
 #include "meshenvironment.h"
 
+#include "platformdocuments.h"
+
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdio>
@@ -11,7 +13,6 @@
 namespace {
 
 constexpr std::size_t maximumBodyBytes = 1 * mebibyte;
-constexpr int slots = 30;
 constexpr Duration outerServiceTime = std::chrono::milliseconds(20);
 constexpr Duration innerServiceTime = std::chrono::milliseconds(10);
 constexpr Duration callerTimeout = std::chrono::seconds(2);
@@ -126,16 +127,7 @@
 nlohmann::json MeshEnvironment::instanceEntry(const std::string &id, const std::string &state) const
 {
     const std::size_t index = indexOf(id);
-    const PlainBackend::Options &options = m_backends[index]->options();
-    return {{"service", options.service},
-            {"address", toText(options.address)},
-            {"zone", m_dataCentres[index]},
-            {"version", "v1"},
-            {"slots", slots},
-            {"state", state},
-            {"cold_remaining_s", 0},
-            {"sequence", 1},
-            {"born", 1000}};
+    return instanceDocument(m_backends[index]->options(), m_dataCentres[index], state);
 }
 
 void MeshEnvironment::publishInstance(const std::string &id, const std::string &state)
@@ -188,33 +180,19 @@
 
 void MeshEnvironment::publishRoutes(int version, const std::string &extraService)
 {
-    const auto rule = [](const char *name,
-                         const char *kind,
-                         const char *prefix,
-                         const std::string &service,
-                         int priority,
-                         double timeout = routeTimeoutSeconds) {
-        return nlohmann::json{{"name", name},
-                              {"kind", kind},
-                              {"target_latency_s", 1},
-                              {"priority", priority},
-                              {"match", {{"prefix", prefix}}},
-                              {"action", {{"service", service}, {"timeout_s", timeout}, {"attempts", 2}}}};
-    };
-    nlohmann::json rules = {rule("look", "idempotent", "/look/", "outer", 1),
-                            rule("pay", "non_idempotent", "/pay/", "outer", 0),
-                            rule("long", "non_idempotent", "/long/", "outer", 0, toSeconds(longRouteTimeout)),
-                            rule("inner", "idempotent", "/inner/", "inner", 2)};
+    PublishedConfiguration configuration;
+    configuration.version = version;
+    configuration.host = host;
+    configuration.limits = {{"idle_timeout_s", toSeconds(clientIdleTimeout)}};
+    configuration.services = {"outer", "inner", "spare"};
+    configuration.routes = {{"look", true, "/look/", "outer", 1, routeTimeoutSeconds},
+                            {"pay", false, "/pay/", "outer", 0, routeTimeoutSeconds},
+                            {"long", false, "/long/", "outer", 0, toSeconds(longRouteTimeout)},
+                            {"inner", true, "/inner/", "inner", 2, routeTimeoutSeconds}};
     if (!extraService.empty()) {
-        rules.push_back(rule("extra", "idempotent", "/extra/", extraService, 1));
-    }
-    const nlohmann::json listeners = nlohmann::json::array({{{"host", host}, {"rules", rules}}});
-    const nlohmann::json clusters = {{{"name", "outer"}}, {{"name", "inner"}}, {{"name", "spare"}}};
-    const nlohmann::json document = {{"version", version},
-                                     {"limits", {{"idle_timeout_s", toSeconds(clientIdleTimeout)}}},
-                                     {"listeners", listeners},
-                                     {"clusters", clusters}};
-    m_store.put("op/config", document.dump());
+        configuration.routes.push_back({"extra", true, "/extra/", extraService, 1, routeTimeoutSeconds});
+    }
+    m_store.put("op/config", configurationDocument(configuration));
 }
 
 //! Publishes versions in quick succession: a route moves to another service, is dropped and comes back.
--- a/standins/plainbackend.cpp
+++ b/standins/plainbackend.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t maximumBodyBytes = 1 * mebibyte;
 constexpr Duration callTimeout = std::chrono::seconds(2);
 const std::string longPathPrefix = "/long/";
+const std::string bytesPathPrefix = "/bytes/";
 
 } // namespace
 
@@ -18,6 +19,8 @@
 {
     std::shared_ptr<HttpExchange> exchange;
     std::string request;
+    //! Size of the answer's body; zero: the body that bodyFor() returns.
+    std::size_t answerBytes = 0;
     int callsLeft = 0;
 };
 
@@ -64,6 +67,9 @@
         exchange->respond(std::move(response));
         return;
     }
+    if (const std::string &target = exchange->request().target; target.rfind(bytesPathPrefix, 0) == 0) {
+        work->answerBytes = std::strtoull(target.c_str() + bytesPathPrefix.size(), nullptr, 10);
+    }
     m_runs.push_back({work->request, exchange->request().target, steadyClock()()});
     const Duration serviceTime = serviceTimeOf(exchange->request());
     const std::string *deadline = exchange->request().headers.find("Deadline-Milliseconds");
@@ -106,7 +112,8 @@
     response.status = status;
     response.headers.add("Request-Id", work.request);
     response.headers.add("Response-Signature", "signed by " + m_options.id);
-    response.body = status == 200 ? bodyFor(work.request) : (status == 504 ? "the deadline passed" : "a call failed");
+    const std::string body = work.answerBytes == 0 ? bodyFor(work.request) : std::string(work.answerBytes, 'a');
+    response.body = status == 200 ? body : (status == 504 ? "the deadline passed" : "a call failed");
     work.exchange->respond(std::move(response));
 }
 
--- a/standins/plainbackend.h
+++ b/standins/plainbackend.h
@@ -13,8 +13,8 @@
 namespace chervilpaddle::standins {
 
 //! A stand-in for a backend server with plain HTTP: works for the service time, calls another service through its node
-//! and signs its response. Requests for /long/MILLISECONDS take that long instead. Stops work at the deadline that it was given.
-//! Records its runs for the checks. Single-threaded.
+//! and signs its response. Requests for /long/MILLISECONDS take that long instead, those for /bytes/SIZE are
+//! answered with a body of that size. Stops work at the deadline that it was given. Records its runs for the checks. Single-threaded.
 class PlainBackend
 {
 public:
--- a/tests/process/lib/mesh.sh
+++ b/tests/process/lib/mesh.sh
@@ -31,6 +31,7 @@
 [process]
 interface = http
 stop_grace_seconds = ${mesh_stop_grace:-6}
+${mesh_process_settings:-}
 [log]
 level = info
 format = json
