Memory of large bodies goes back to the system when they are freed

Callers saw: connections cut and requests unanswered, as a node was ended for its memory while clients read long answers slowly.

Cause: glibc raises its threshold for mapping blocks of their own to the size of the blocks that are freed. After the first bodies of some MiB, all later ones come from the heap. Bodies of many sizes and ages fragment it, and what has been freed stays resident while anything behind it is in use.

Ruled out as the main cause: the count of what is held. The rest above the bound of the responses is the copies of one answer while it is passed on.

Fix: both thresholds are set at the start, which also ends glibc's own adjustment, so that a body is unmapped when it is freed.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/base/allocator.h>
 #include <chervilpaddle/base/inidocument.h>
 #include <chervilpaddle/mesh/meshnode.h>
 #include <chervilpaddle/node/node.h>
@@ -69,6 +70,7 @@
 
 int runNode(const Arguments &arguments, const NodeSettings &settings)
 {
+    returnLargeBlocksToSystem();
     // A write to a connection that the peer has closed must not end the process; the write reports the error.
     std::signal(SIGPIPE, SIG_IGN);
     if (const std::error_code error = serve(arguments, settings); error) {
--- a/src/chervilpaddle/base/all.h
+++ b/src/chervilpaddle/base/all.h
@@ -2,6 +2,7 @@
 
 //! Includes all public headers of this module. Including only the headers that are needed compiles faster.
 
+#include <chervilpaddle/base/allocator.h>
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/httpsyntax.h>
 #include <chervilpaddle/base/ids.h>
