Long answers go to peers in parts, which count as memory when they arrive

Cause: a frame of up to 8.25 MiB was received whole by websocketpp before it could be counted, one on each link. While it was sent, one answer stood as body, as encoded fields, as frame and twice in websocketpp. The response that was posted to a connection's thread was counted only when it ran.

Fix: bodies over 64 KiB are sent as parts before their answer, to peers whose hello says that they take them. Peers of older builds get whole frames as before. A response takes its share when it is handed to its connection.

--- a/src/chervilpaddle/peer/codec.cpp
+++ b/src/chervilpaddle/peer/codec.cpp
@@ -189,6 +189,18 @@
     if (payload.body) {
         fields.startField("body").writeBytes(*payload.body);
     }
+    if (payload.bodyBytesInParts != 0) {
+        fields.field("bodyInParts", std::uint64_t(payload.bodyBytesInParts));
+    }
+}
+
+std::size_t decodeBodySize(const CborValue &value)
+{
+    const std::uint64_t size = value.unsignedNumber();
+    if (size > maxBodyBytes) {
+        throw FrameError(ResultCode::FrameTooLarge);
+    }
+    return size;
 }
 
 Payload decodePayload(const CborValue &value)
@@ -209,6 +221,9 @@
         }
         payload.body = std::make_shared<const std::string>(bytes);
     }
+    if (const auto size = value.find("bodyInParts"); size) {
+        payload.bodyBytesInParts = decodeBodySize(*size);
+    }
     return payload;
 }
 
@@ -238,6 +253,7 @@
     fields.field("service", m.service.value());
     fields.field("dataCentre", m.dataCentre.value());
     fields.field("slots", m.slots);
+    fields.field("bodyParts", m.takesBodyParts);
 }
 
 HelloMessage decodeHello(const CborValue &v)
@@ -252,6 +268,8 @@
     m.service = ServiceName(decodeText(v.at("service")));
     m.dataCentre = DataCentreName(decodeText(v.at("dataCentre")));
     m.slots = decodeInt(v.at("slots"));
+    const auto takesBodyParts = v.find("bodyParts");
+    m.takesBodyParts = takesBodyParts && takesBodyParts->boolean();
     return m;
 }
 
@@ -365,6 +383,14 @@
     return m;
 }
 
+void encode(FieldWriter &fields, const BodyPartMessage &m)
+{
+    fields.field("kind", "bodyPart");
+    encode(fields.startField("ticket"), m.ticket);
+    fields.field("bodyBytes", std::uint64_t(m.bodyBytes));
+    fields.startField("bytes").writeBytes(m.bytes);
+}
+
 void encode(FieldWriter &fields, const CancelMessage &m)
 {
     fields.field("kind", "cancel");
@@ -501,6 +527,9 @@
     if (kind == "answer") {
         return decodeAnswer(v);
     }
+    if (kind == "bodyPart") {
+        return BodyPartMessage{decodeTicketId(v.at("ticket")), decodeBodySize(v.at("bodyBytes")), std::string(v.at("bytes").byteString())};
+    }
     if (kind == "status") {
         return decodeStatus(v);
     }
--- a/src/chervilpaddle/peer/messages.h
+++ b/src/chervilpaddle/peer/messages.h
@@ -84,6 +84,8 @@
     Body body;
     //! Set for plain HTTP calls only; shared between attempts instead of copied.
     std::shared_ptr<const HttpHead> head = nullptr;
+    //! Size of the body of an answer that was sent before it, in parts; zero: the body is in this message.
+    std::size_t bodyBytesInParts = 0;
 };
 
 struct CallMessage
@@ -119,6 +121,15 @@
     Payload payload;
 };
 
+//! A part of the body of an answer that follows. Only sent to peers that take such parts.
+struct BodyPartMessage
+{
+    TicketId ticket;
+    //! Size of the entire body.
+    std::size_t bodyBytes = 0;
+    std::string bytes;
+};
+
 struct CancelMessage
 {
     TicketId ticket;
@@ -138,6 +149,8 @@
     ServiceName service;
     DataCentreName dataCentre;
     int slots = 0;
+    //! Answers with long bodies may be sent to the sender in parts.
+    bool takesBodyParts = true;
 };
 
 //! Version of a document that nodes replicate to each other.
@@ -219,7 +232,8 @@
                                  InstancesRequest,
                                  InstancesMessage,
                                  RoutesRequest,
-                                 RoutesMessage>;
+                                 RoutesMessage,
+                                 BodyPartMessage>;
 
 } // namespace chervilpaddle
 
--- a/src/chervilpaddle/peer/peertraffic.cpp
+++ b/src/chervilpaddle/peer/peertraffic.cpp
@@ -18,7 +18,8 @@
                                                 {"instances request"},
                                                 {"instances"},
                                                 {"routes request"},
-                                                {"routes"}}};
+                                                {"routes"},
+                                                {"body part"}}};
 
 } // namespace
 
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -158,9 +158,12 @@
     //! May be called from any thread.
     void respond(std::uint64_t exchange, HttpResponse response)
     {
-        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
+        std::shared_ptr<ResponseMemory::Share> share = holdMemoryFor(response);
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange, share, response = std::move(response)]() mutable {
             if (self->m_exchange == exchange && self->m_phase == ConnectionPhase::Handling) {
-                self->write(std::move(response));
+                const bool isGivenUp = share && share->isGivenUp();
+                self->m_memoryShare = isGivenUp ? nullptr : std::move(share);
+                self->write(isGivenUp ? lastResponse(ResultCode::AnswerTooLarge) : std::move(response));
             }
         });
     }
@@ -384,9 +387,6 @@
 
     void write(HttpResponse response)
     {
-        if (!holdResponse(response)) {
-            response = lastResponse(ResultCode::AnswerTooLarge);
-        }
         enter(ConnectionPhase::Responding);
         m_disconnectHandler = nullptr;
         m_response = std::make_unique<http::response<http::string_body>>();
@@ -421,24 +421,24 @@
                           }));
     }
 
-    //! Takes memory for a response until it has been sent; returns whether there is enough.
-    bool holdResponse(const HttpResponse &response)
+    //! Takes memory for a response until it has been sent; if there is not enough, the response is replaced by an error.
+    std::unique_ptr<ResponseMemory::Share> holdMemoryFor(HttpResponse &response)
     {
         if (!m_state->options.responseMemory || response.body.empty()) {
-            return true;
+            return nullptr;
         }
-        m_memoryShare = m_state->options.responseMemory->hold([self = weak_from_this(), executor = executor()] {
+        auto share = m_state->options.responseMemory->hold([self = weak_from_this(), executor = executor()] {
             asio::post(executor, [self] {
                 if (const auto session = self.lock(); session) {
                     session->closeIfGivenUp();
                 }
             });
         });
-        const bool isHeld = m_memoryShare->update(ResponseMemory::Use::Sending, response.body.capacity());
-        if (!isHeld) {
-            m_memoryShare.reset();
+        if (!share->update(ResponseMemory::Use::Sending, response.body.capacity())) {
+            response = lastResponse(ResultCode::AnswerTooLarge);
+            return nullptr;
         }
-        return isHeld;
+        return share;
     }
 
     //! The response that was given up may have been sent before this runs.
@@ -510,7 +510,7 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
-    std::unique_ptr<ResponseMemory::Share> m_memoryShare;
+    std::shared_ptr<ResponseMemory::Share> m_memoryShare;
     std::function<void()> m_disconnectHandler;
     const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
     std::chrono::steady_clock::time_point m_lastRequestAt = m_openedAt;
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/transport/bodyassembler.h>
 #include <chervilpaddle/transport/peertransport.h>
 
 #include <algorithm>
@@ -8,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 #include <websocketpp/client.hpp>
@@ -23,6 +25,8 @@
 
 //! A connection is closed when more data than this waits to be sent, because its peer does not read.
 constexpr std::size_t maxUnsentBytes = 4 * maxFrameBytes;
+//! Longer bodies of answers are sent in parts of this size.
+constexpr std::size_t maxBodyPartBytes = 64 * kibibyte;
 //! Answers of this size are followed by a ping.
 constexpr std::size_t minMarkedBytes = 16 * kibibyte;
 constexpr const char *protocolVersion = "13"; // RFC 6455
@@ -147,17 +151,21 @@
     void send(ConnectionId id, const PeerMessage &message)
     {
         const auto *answer = std::get_if<ResponseMessage>(&message);
-        if (!m_responseMemory || answer == nullptr || !answer->payload.body || answer->payload.body->empty()) {
+        if (answer == nullptr || !answer->payload.body || answer->payload.body->empty()) {
             sendFrame(id, message);
             return;
         }
+        if (!m_responseMemory) {
+            sendAnswer(id, *answer);
+            return;
+        }
         auto share = m_responseMemory->hold([] {}); // A committed share is never given up.
         if (!share->update(ResponseMemory::Use::Committed, answer->payload.body->size())) {
             ResponseMessage replacement = *answer;
             replacement.code = ResultCode::AnswerTooLarge;
             replacement.payload = {};
             sendFrame(id, replacement);
-        } else if (sendFrame(id, message)) {
+        } else if (sendAnswer(id, *answer)) {
             m_unreadAnswers[id].shares.push_back(std::move(share));
             markAnswers(id, answer->payload.body->size());
         }
@@ -243,6 +251,25 @@
         connection.get_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     }
 
+    //! Sends an answer; its body is sent before it in parts if it is long and the peer takes them. Returns false if there is no
+    //! connection that accepts it whole.
+    bool sendAnswer(ConnectionId id, const ResponseMessage &answer)
+    {
+        const std::string &body = *answer.payload.body;
+        if (body.size() <= maxBodyPartBytes || m_takesBodyParts.count(id) == 0) {
+            return sendFrame(id, answer);
+        }
+        for (std::size_t at = 0; at < body.size(); at += maxBodyPartBytes) {
+            if (!sendFrame(id, BodyPartMessage{answer.ticket, body.size(), body.substr(at, maxBodyPartBytes)})) {
+                return false;
+            }
+        }
+        ResponseMessage last = answer;
+        last.payload.body = nullptr;
+        last.payload.bodyBytesInParts = body.size();
+        return sendFrame(id, last);
+    }
+
     //! Returns false if there is no connection that accepts the frame.
     bool sendFrame(ConnectionId id, const PeerMessage &message)
     {
@@ -323,6 +350,16 @@
             return;
         }
         m_received.record(frame.message, bytes.size());
+        if (const auto *part = std::get_if<BodyPartMessage>(&frame.message); part != nullptr) {
+            assemblerOf(id).add(*part);
+            return;
+        }
+        if (const auto *hello = std::get_if<HelloMessage>(&frame.message); hello != nullptr && hello->takesBodyParts) {
+            m_takesBodyParts.insert(id);
+        }
+        if (auto *answer = std::get_if<ResponseMessage>(&frame.message); answer != nullptr && answer->payload.bodyBytesInParts > 0) {
+            assemblerOf(id).complete(*answer);
+        }
         try {
             m_hooks.received(id, std::move(frame));
         } catch (...) {
@@ -331,6 +368,12 @@
         }
     }
 
+    BodyAssembler &assemblerOf(ConnectionId id)
+    {
+        const auto post = [this](std::function<void()> action) { boost::asio::post(m_context, std::move(action)); };
+        return m_assemblers.try_emplace(id, m_responseMemory, post).first->second;
+    }
+
     //! A connection that is not open yet has ended for its user at once: while its host name is being resolved, nothing can stop it.
     void closeNow(ConnectionId id)
     {
@@ -366,6 +409,8 @@
     void removeConnection(ConnectionId id)
     {
         m_unreadAnswers.erase(id);
+        m_assemblers.erase(id);
+        m_takesBodyParts.erase(id);
         if (m_outbound.erase(id) + m_inbound.erase(id) != 0) {
             m_hooks.closed(id);
         }
@@ -391,6 +436,8 @@
     std::shared_ptr<ResponseMemory> m_responseMemory;
     std::unordered_map<ConnectionId, UnreadAnswers> m_unreadAnswers;
     std::uint64_t m_lastMark = 0;
+    std::unordered_map<ConnectionId, BodyAssembler> m_assemblers;
+    std::unordered_set<ConnectionId> m_takesBodyParts;
     tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
     Server m_server;
--- a/tests/peer/codec.cpp
+++ b/tests/peer/codec.cpp
@@ -76,7 +76,8 @@
                                     InstancesRequest(),
                                     InstancesMessage{"{}"},
                                     RoutesRequest{Revision(5)},
-                                    RoutesMessage{"{}"}};
+                                    RoutesMessage{"{}"},
+                                    BodyPartMessage{{}, 9, "bytes"}};
     for (const PeerMessage &message : messages) {
         PeerFrame frame;
         cr_expect_not(decodeFrame(encodeFrame({message, TimePoint()}), frame));
@@ -99,6 +100,31 @@
     cr_assert_not(json::from_cbor(encodeFrame({StatusMessage(), TimePoint()})).contains("routesVersion"));
 }
 
+//! Answers must not be sent in parts to peers of older builds, which reject kinds of messages that they do not know.
+Test(codec, a_hello_without_the_field_comes_from_a_peer_that_takes_no_body_parts)
+{
+    json hello = json::from_cbor(encodeFrame({HelloMessage(), TimePoint()}));
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encoded(hello), frame));
+    cr_assert(std::get<HelloMessage>(frame.message).takesBodyParts);
+    hello.erase("bodyParts");
+    cr_assert_not(decodeFrame(encoded(hello), frame));
+    cr_assert_not(std::get<HelloMessage>(frame.message).takesBodyParts);
+}
+
+Test(codec, a_body_part_is_unchanged_by_encoding_and_decoding)
+{
+    const BodyPartMessage part{{Incarnation(7), 3}, maxBodyBytes, std::string("a\0b", 3)};
+    PeerFrame frame;
+    cr_assert_not(decodeFrame(encodeFrame({part, TimePoint()}), frame));
+    const auto &copy = std::get<BodyPartMessage>(frame.message);
+    cr_assert(copy.ticket == part.ticket);
+    cr_assert_eq(copy.bodyBytes, maxBodyBytes);
+    cr_assert(copy.bytes == part.bytes);
+    const BodyPartMessage tooLarge{{Incarnation(7), 3}, maxBodyBytes + 1, "a"};
+    cr_assert_eq(decodeResult(encodeFrame({tooLarge, TimePoint()})), std::error_code(ResultCode::FrameTooLarge));
+}
+
 Test(codec, routes_are_unchanged_by_encoding_and_decoding)
 {
     PeerFrame frame;
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -514,3 +514,63 @@
         cr_assert_gt(pair.context.run_one_for(patience), 0, "answers stay held");
     }
 }
+
+//! Long answers that arrive from many peers at once must not use up the memory, and an answer that is given up must not cost the
+//! others of its connection.
+Test(peertransport, an_answer_without_memory_at_its_receiver_ends_alone)
+{
+    struct Case
+    {
+        const char *description;
+        std::size_t bodyBytes;
+        ResultCode expected;
+    };
+    const Case cases[] = {
+        {"in one frame", 1 * kibibyte, ResultCode::Done},
+        {"in parts", 1 * mebibyte, ResultCode::Done},
+        {"beyond the memory", 3 * mebibyte, ResultCode::AnswerTooLarge},
+        {"in parts, after that", 2 * mebibyte - 1, ResultCode::Done},
+    };
+    asio::io_context context{1};
+    const auto memory = std::make_shared<ResponseMemory>(2 * mebibyte);
+    std::vector<ResponseMessage> received;
+    std::optional<ConnectionId> inbound;
+    bool isAcquainted = false;
+    int closed = 0;
+    PeerTransport *senderOrNull = nullptr;
+    PeerTransport::Hooks hooks;
+    hooks.clock = [] { return TimePoint(); };
+    hooks.closed = [&closed](ConnectionId /*id*/) { ++closed; };
+    hooks.frameRejected = [](ConnectionId /*id*/, std::error_code error) { cr_expect(false, "%s", error.message().c_str()); };
+    PeerTransport::Hooks senderHooks = hooks;
+    senderHooks.opened = [&inbound](ConnectionId id, bool /*isInbound*/) { inbound = id; };
+    senderHooks.received = [&isAcquainted](ConnectionId /*id*/, const PeerFrame & /*hello*/) { isAcquainted = true; };
+    PeerTransport sender(context, senderHooks);
+    const Endpoint address = freeAddress();
+    cr_assert_not(sender.listen(address));
+    PeerTransport::Hooks receiverHooks = hooks;
+    receiverHooks.opened = [&senderOrNull](ConnectionId id, bool /*isInbound*/) { senderOrNull->send(id, HelloMessage()); };
+    receiverHooks.received = [&received](ConnectionId /*id*/, PeerFrame frame) {
+        received.push_back(std::get<ResponseMessage>(std::move(frame.message)));
+    };
+    PeerTransport receiver(context, receiverHooks, memory);
+    senderOrNull = &receiver;
+    receiver.dial(address);
+    while (!isAcquainted) {
+        cr_assert_gt(context.run_one_for(patience), 0);
+    }
+    for (const Case &c : cases) {
+        ResponseMessage answer;
+        answer.payload = {200, "text/plain", std::make_shared<const std::string>(c.bodyBytes, 'b')};
+        sender.send(*inbound, answer);
+        for (const std::size_t before = received.size(); received.size() == before;) {
+            cr_assert_gt(context.run_one_for(patience), 0, "%s", c.description);
+            cr_expect_leq(memory->heldBytes(), 2 * mebibyte);
+        }
+        const std::size_t size = received.back().payload.body ? received.back().payload.body->size() : 0;
+        cr_expect_eq(received.back().code, c.expected, "%s", c.description);
+        cr_expect_eq(size, c.expected == ResultCode::Done ? c.bodyBytes : 0, "%s: %zu bytes", c.description, size);
+    }
+    cr_expect_eq(closed, 0);
+    cr_expect_eq(memory->heldBytes(), 0);
+}
