A new connection takes the place of one that has served nobody for longest

Callers saw: no answer at all, and nodes that were not ready, while a few hundred connections were opened and left, or sent a head a byte at a time.

Without descriptors the node cannot accept, reach its backend server or answer a probe. At the limit, it was the newcomer that was refused, for as long as others stayed idle.

Fix: process.descriptors (4,100) is divided: six tenths for callers, a 64th for each of the ports for readiness and operators. ConnectionLimit decides who gives way. Ruled out: giving way by kind (unused before idle before receiving): a caller's new connection is unused until its request arrives, and gave way to the next slow head (3 of 7 requests served). A connection counts until it is closed, not until its object is destroyed: otherwise what was just closed was chosen again.

The stand-in now opens a connection for each ordinary request and probes readiness, and the nodes of these tests run with a limit of descriptors.

--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -5,6 +5,7 @@
 #include <chervilpaddle/controllers/admissionqueue.h>
 #include <chervilpaddle/controllers/configurationcontroller.h>
 #include <chervilpaddle/controllers/configurationsync.h>
+#include <chervilpaddle/controllers/connectionlimit.h>
 #include <chervilpaddle/controllers/executor.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
 #include <chervilpaddle/controllers/instancelist.h>
--- a/src/chervilpaddle/controllers/resourcebudget.h
+++ b/src/chervilpaddle/controllers/resourcebudget.h
@@ -10,6 +10,7 @@
 struct MachineResources
 {
     std::size_t memoryBytes = 160 * mebibyte;
+    std::size_t descriptors = 4100;
 };
 
 //! How a node divides its machine's resources among what clients and peers make it hold. The parts together stay below the
@@ -20,6 +21,10 @@
     std::size_t requestBytes = 0;
     //! Responses of backend servers, from their first byte until they have been sent.
     std::size_t responseBytes = 0;
+    //! Connections of callers and of the backend server beside the node.
+    std::size_t callerConnections = 0;
+    //! Connections to each of the ports for readiness and for operators.
+    std::size_t operatorConnections = 0;
 };
 
 //! Thread-safe.
--- a/src/chervilpaddle/mesh/meshnode.cpp
+++ b/src/chervilpaddle/mesh/meshnode.cpp
@@ -23,9 +23,9 @@
 //! Time for the last messages to peers to be written.
 constexpr Duration peerFlushTime = std::chrono::milliseconds(100);
 constexpr std::size_t maxOperatorBodyBytes = 64 * kibibyte;
-constexpr std::size_t maxConnections = 3000;
 
-HttpServer::Options serverOptions(const Endpoint &address, std::size_t maxBodyBytes, const ResourceBudget &budget)
+HttpServer::Options
+serverOptions(const Endpoint &address, std::size_t maxBodyBytes, std::size_t maxConnections, const ResourceBudget &budget)
 {
     HttpServer::Options options;
     options.address = address;
@@ -49,10 +49,10 @@
         , m_core(m_context, settings, m_protocol, m_log)
         , m_callers({&m_context}, callersOptions(), [this](auto exchange) { m_core.handle(exchange); })
         , m_readiness({&m_context},
-                      serverOptions(settings.readiness, maxOperatorBodyBytes, m_budget),
+                      serverOptions(settings.readiness, maxOperatorBodyBytes, m_budget.operatorConnections, m_budget),
                       [this](auto exchange) { handleReadiness(exchange); })
         , m_operators({&m_context},
-                      serverOptions(settings.operators, maxOperatorBodyBytes, m_budget),
+                      serverOptions(settings.operators, maxOperatorBodyBytes, m_budget.operatorConnections, m_budget),
                       [this](auto exchange) { handleOperator(exchange); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
@@ -83,7 +83,7 @@
 private:
     HttpServer::Options callersOptions()
     {
-        HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes, m_budget);
+        HttpServer::Options options = serverOptions(m_settings.callers, maxBodyBytes, m_budget.callerConnections, m_budget);
         options.responseMemory = m_core.responseMemory();
         options.connectionClosed = [this](const ClosedConnection &closed) { m_core.handleClosedConnection(closed); };
         return options;
--- a/src/chervilpaddle/node/nodesettings.cpp
+++ b/src/chervilpaddle/node/nodesettings.cpp
@@ -16,6 +16,7 @@
 constexpr double maxNumber = 1e6;
 constexpr std::size_t megabyte = 1'000'000;
 constexpr std::size_t minMemoryMegabytes = 64;
+constexpr std::size_t minDescriptors = 128;
 const char *const interfaceContracts = "contracts";
 const char *const interfaceHttp = "http";
 
@@ -75,6 +76,7 @@
         m_keys["repeats.window_seconds"] = secondsKey(m_settings.retryBudget.window);
         m_keys["process.stop_grace_seconds"] = secondsKey(m_settings.shutdownGracePeriod);
         m_keys["process.memory_mb"] = sizeKey(m_settings.machine.memoryBytes, megabyte, minMemoryMegabytes);
+        m_keys["process.descriptors"] = sizeKey(m_settings.machine.descriptors, 1, minDescriptors);
         m_keys["process.threads"] = {false, [this](const std::string &v) { return parseThreads(v); }};
     }
 
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -1,4 +1,5 @@
 #include <chervilpaddle/base/units.h>
+#include <chervilpaddle/controllers/connectionlimit.h>
 #include <chervilpaddle/transport/httpserver.h>
 #include <chervilpaddle/transport/pendinginput.h>
 
@@ -11,9 +12,9 @@
 #include <boost/beast/http.hpp>
 #include <chervilpaddle/base/resultcode.h>
 #include <chrono>
-#include <map>
 #include <mutex>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace chervilpaddle {
@@ -50,6 +51,13 @@
 //! State shared by all connections of a server.
 struct ServerState
 {
+    explicit ServerState(HttpServer::Options serverOptions)
+        : limits(serverOptions.limits)
+        , connectionLimit(serverOptions.maxConnections)
+        , options(std::move(serverOptions))
+    {
+    }
+
     HttpLimits currentLimits() const
     {
         const std::lock_guard lock(limitsMutex);
@@ -63,11 +71,12 @@
 
     //! Guards `limits`.
     mutable std::mutex limitsMutex;
-    HttpLimitsInForce limits{HttpLimits()};
-    //! Guards `sessions`, which holds the connections that have been started.
+    HttpLimitsInForce limits;
+    //! Guards `sessions`, which holds the open connections, and `connectionLimit`.
     std::mutex sessionsMutex;
-    std::map<Session *, std::weak_ptr<Session>> sessions;
-    HttpServer::Options options;
+    std::unordered_map<ServedConnection, std::weak_ptr<Session>> sessions;
+    ConnectionLimit connectionLimit;
+    const HttpServer::Options options;
     HttpServer::Handler handler;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::int64_t> bodyBytes{0};
@@ -121,23 +130,38 @@
         , m_state(std::move(state))
         , m_reservation(*m_state)
     {
+        const std::lock_guard lock(m_state->sessionsMutex);
+        m_number = m_state->connectionLimit.add();
         ++m_state->connections;
     }
     ~Session()
     {
-        const std::lock_guard lock(m_state->sessionsMutex);
-        m_state->sessions.erase(this);
+        unlist();
         --m_state->connections;
     }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
-    void start()
+    //! Makes the connection known to the server, so that it can be closed.
+    void enlist()
     {
-        {
-            const std::lock_guard lock(m_state->sessionsMutex);
-            m_state->sessions[this] = weak_from_this();
+        const std::lock_guard lock(m_state->sessionsMutex);
+        m_state->sessions[m_number] = weak_from_this();
+    }
+
+    //! Does nothing if this has been done before.
+    void unlist()
+    {
+        const std::lock_guard lock(m_state->sessionsMutex);
+        if (std::exchange(m_isListed, false)) {
+            m_state->connectionLimit.remove(m_number);
+            m_state->sessions.erase(m_number);
         }
+    }
+
+    //! Must run on the connection's thread.
+    void start()
+    {
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         waitForRequest();
@@ -155,6 +179,16 @@
         }
     }
 
+    //! Closes the connection in favour of a new one, unless a request is being handled. Must run on the connection's thread.
+    void displace()
+    {
+        if (m_phase == ConnectionPhase::Idle) {
+            closeUnlessRequested(CloseReason::OverLimit);
+        } else if (m_phase != ConnectionPhase::Handling) {
+            close(CloseReason::OverLimit);
+        }
+    }
+
     //! May be called from any thread.
     void respond(std::uint64_t exchange, HttpResponse response)
     {
@@ -188,6 +222,15 @@
     {
         m_phase = phase;
         ++m_step;
+        if (phase == ConnectionPhase::Receiving || !m_isListed) {
+            return; // A request that has begun to arrive serves nobody yet.
+        }
+        const bool isWaiting = phase == ConnectionPhase::Idle || phase == ConnectionPhase::Responding;
+        const auto activity = phase == ConnectionPhase::Handling ? ConnectionLimit::Activity::Handling
+            : isWaiting                                          ? ConnectionLimit::Activity::Waiting
+                                                                 : ConnectionLimit::Activity::Closing;
+        const std::lock_guard lock(m_state->sessionsMutex);
+        m_state->connectionLimit.setActivity(m_number, activity);
     }
 
     //! Wraps the handler of an operation that belongs to the current phase. A handler that is already queued cannot be cancelled, so
@@ -484,6 +527,7 @@
         m_idleTimer.cancel();
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.close();
+        unlist();
         if (m_state->options.connectionClosed && !std::exchange(m_isReported, true)) {
             m_state->options.connectionClosed(closed);
         }
@@ -503,6 +547,9 @@
         return closed;
     }
 
+    ServedConnection m_number;
+    //! Whether the connection counts as one of the server's.
+    bool m_isListed = true;
     beast::tcp_stream m_stream;
     asio::steady_timer m_idleTimer{m_stream.get_executor()};
     std::shared_ptr<ServerState> m_state;
@@ -598,10 +645,8 @@
         : m_contexts(std::move(contexts))
         , m_acceptor(*m_contexts.front())
         , m_acceptTimer(*m_contexts.front())
-        , m_state(std::make_shared<ServerState>())
+        , m_state(std::make_shared<ServerState>(std::move(options)))
     {
-        m_state->limits = HttpLimitsInForce(options.limits);
-        m_state->options = std::move(options);
         m_state->handler = std::move(handler);
     }
 
@@ -702,7 +747,7 @@
     void startSession(tcp::socket socket)
     {
         const auto executor = socket.get_executor();
-        if (m_state->connections >= m_state->options.maxConnections) {
+        if (!makeRoom()) {
             asio::post(executor, [state = m_state] {
                 if (state->options.connectionClosed) {
                     ClosedConnection closed;
@@ -712,7 +757,28 @@
             });
             return;
         }
-        asio::post(executor, [session = std::make_shared<Session>(std::move(socket), m_state)] { session->start(); });
+        const auto session = std::make_shared<Session>(std::move(socket), m_state);
+        session->enlist();
+        asio::post(executor, [session] { session->start(); });
+    }
+
+    //! Returns whether a connection may be added; another one may be closed for it.
+    bool makeRoom()
+    {
+        std::shared_ptr<Session> displaced;
+        {
+            const std::lock_guard lock(m_state->sessionsMutex);
+            if (!m_state->connectionLimit.isFull()) {
+                return true;
+            }
+            if (const auto connection = m_state->connectionLimit.displace(); connection) {
+                displaced = m_state->sessions[*connection].lock();
+            }
+        }
+        if (displaced) {
+            asio::post(displaced->executor(), [displaced] { displaced->displace(); });
+        }
+        return displaced != nullptr;
     }
 
     //! Closing a listening socket resets the connections in its backlog, so these are accepted first.
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -45,6 +45,7 @@
     {
         Endpoint address;
         std::size_t maxBodyBytes = 0;
+        //! Beyond it, a new connection takes the place of one that serves nobody, see ConnectionLimit.
         std::size_t maxConnections = 1024;
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
         //! See setLimits(). Clients are told a shorter idle time, see announcedIdleTime().
--- a/standins/crowdenvironment.cpp
+++ b/standins/crowdenvironment.cpp
@@ -22,18 +22,21 @@
 
 } // namespace
 
-//! Sends ordinary requests to one node.
+//! Sends ordinary requests to one node and probes whether it is ready, each time on a new connection.
 struct CrowdEnvironment::Caller
 {
-    Caller(boost::asio::io_context &context, const Endpoint &node)
+    Caller(boost::asio::io_context &context, const Endpoint &node, const Endpoint &readiness)
         : client(context, {node, maximumBodyBytes})
+        , prober(context, {readiness, maximumBodyBytes})
     {
     }
 
     HttpClient client;
+    HttpClient prober;
     //! The status of each request's response; zero if there was no complete one.
     std::map<std::string, int> statuses;
     int servedBesideCrowd = 0;
+    int readyBesideCrowd = 0;
 };
 
 CrowdEnvironment::CrowdEnvironment(boost::asio::io_context &context, CrowdEnvironmentOptions options)
@@ -49,7 +52,7 @@
         backend.node = addressOf(node, 1);
         backend.serviceTime = serviceTime;
         m_backends.push_back(std::make_unique<PlainBackend>(m_context, backend));
-        m_callers.push_back(std::make_unique<Caller>(m_context, addressOf(node, 1)));
+        m_callers.push_back(std::make_unique<Caller>(m_context, addressOf(node, 1), addressOf(node, 3)));
     }
     publish();
 }
@@ -112,6 +115,7 @@
     }
     for (const auto &caller : m_callers) {
         keepSending(*caller);
+        keepProbing(*caller);
     }
 }
 
@@ -125,6 +129,16 @@
     });
 }
 
+void CrowdEnvironment::keepProbing(Caller &caller)
+{
+    probe(caller, [this, &caller](bool isReady) {
+        caller.readyBesideCrowd += isReady && m_isCrowded ? 1 : 0;
+        if (m_isCrowded) {
+            after(retryInterval, [this, &caller] { keepProbing(caller); });
+        }
+    });
+}
+
 void CrowdEnvironment::endCrowds()
 {
     m_isCrowded = false;
@@ -145,6 +159,7 @@
     request.body = "payment";
     request.headers.add("Host", host);
     request.headers.add("Request-Id", id);
+    request.headers.add("Connection", "close");
     caller.client.send(std::move(request), callerTimeout, [&caller, id, ended = std::move(ended)](const HttpResult &result) {
         const bool isWhole = result.stage == HttpStage::Complete;
         caller.statuses[id] = isWhole ? result.response.status : 0;
@@ -152,6 +167,16 @@
     });
 }
 
+void CrowdEnvironment::probe(Caller &caller, std::function<void(bool isReady)> ended)
+{
+    HttpRequest request;
+    request.target = "/readiness";
+    request.headers.add("Connection", "close");
+    caller.prober.send(std::move(request), callerTimeout, [ended = std::move(ended)](const HttpResult &result) {
+        ended(result.stage == HttpStage::Complete && result.response.status == 200);
+    });
+}
+
 void CrowdEnvironment::sendUntilServed(std::function<void()> answered)
 {
     const auto pending = std::make_shared<std::size_t>(m_callers.size());
@@ -167,11 +192,13 @@
 void CrowdEnvironment::sendUntilServed(Caller &caller, std::function<void()> answered)
 {
     send(caller, [this, &caller, answered = std::move(answered)](bool isServed) {
-        if (isServed) {
-            answered();
-        } else {
-            after(retryInterval, [this, &caller, answered] { sendUntilServed(caller, answered); });
-        }
+        probe(caller, [this, &caller, answered, isServed](bool isReady) {
+            if (isServed && isReady) {
+                answered();
+            } else {
+                after(retryInterval, [this, &caller, answered] { sendUntilServed(caller, answered); });
+            }
+        });
     });
 }
 
@@ -200,15 +227,20 @@
     }
     for (std::size_t node = 0; node < m_options.nodes; ++node) {
         const Caller &caller = *m_callers[node];
-        std::printf("node %zu: %d of %zu ordinary requests were served beside the crowd\n",
+        std::printf("node %zu: beside the crowd, %d of %zu ordinary requests were served and %d probes found it ready\n",
                     node + 1,
                     caller.servedBesideCrowd,
-                    caller.statuses.size());
+                    caller.statuses.size(),
+                    caller.readyBesideCrowd);
         checkPromises(caller.statuses);
         if (caller.servedBesideCrowd == 0) {
             ++violations;
             std::printf("VIOLATION: no ordinary request was served beside the crowd\n");
         }
+        if (caller.readyBesideCrowd == 0) {
+            ++violations;
+            std::printf("VIOLATION: no probe found the node ready beside the crowd\n");
+        }
         for (const auto &[id, status] : caller.statuses) {
             if (runs[id] > 1) {
                 ++violations;
--- a/standins/crowdenvironment.h
+++ b/standins/crowdenvironment.h
@@ -48,11 +48,14 @@
 
     Endpoint addressOf(std::size_t node, int portOffset) const;
     void publish();
-    //! Sends a request of each caller; `answered` is called when all have been served, and requests that fail are sent again.
+    //! Sends a request of each caller; `answered` is called when all have been served and all nodes are ready, and requests that fail
+    //! are sent again.
     void sendUntilServed(std::function<void()> answered);
+    void probe(Caller &caller, std::function<void(bool isReady)> ended);
     void send(Caller &caller, std::function<void(bool isServed)> ended);
     void sendUntilServed(Caller &caller, std::function<void()> answered);
     void keepSending(Caller &caller);
+    void keepProbing(Caller &caller);
     void startCrowds();
     void endCrowds();
     int check() const;
--- a/tests/node/nodesettings.cpp
+++ b/tests/node/nodesettings.cpp
@@ -35,6 +35,7 @@
     {"level = info", "level = info\n[process]\nthreads = 0", ResultCode::SettingInvalid},
     {"level = info", "level = info\n[process]\nmemory_mb = 63", ResultCode::SettingInvalid},
     {"level = info", "level = info\n[process]\nmemory_mb = 260 MB", ResultCode::SettingInvalid},
+    {"level = info", "level = info\n[process]\ndescriptors = 100", ResultCode::SettingInvalid},
     {"level = info", "level = info\n[peers]\nseeds = 127.0.0.1:1, nowhere", ResultCode::SettingInvalid},
     {"level = info", "level info", ResultCode::SettingsUnreadable},
     {"level = info", "level = info\nlevel = warn", ResultCode::SettingsUnreadable},
@@ -45,12 +46,16 @@
 Test(settings, valid_settings_are_accepted_and_command_line_overrides_apply)
 {
     std::vector<Problem> problems;
-    const NodeSettings settings = parseNodeSettings(
-        validSettings, "n.ini", {{"log.level", "debug"}, {"process.threads", "3"}, {"process.memory_mb", "260"}}, problems);
+    const NodeSettings settings =
+        parseNodeSettings(validSettings,
+                          "n.ini",
+                          {{"log.level", "debug"}, {"process.threads", "3"}, {"process.memory_mb", "260"}, {"process.descriptors", "4100"}},
+                          problems);
     cr_assert(problems.empty());
     cr_assert_eq(settings.logLevel, "debug");
     cr_assert_eq(settings.threads, 3);
     cr_assert_eq(settings.machine.memoryBytes, 260'000'000);
+    cr_assert_eq(settings.machine.descriptors, 4100);
     cr_assert_eq(settings.peers.port, 9003);
 }
 
--- a/tests/process/lib/crowd.sh
+++ b/tests/process/lib/crowd.sh
@@ -24,7 +24,9 @@
 # run_crowd MEMORY_MB DESCRIPTORS OPTIONS...: runs the nodes with a crowd, and checks that each stays within these bounds.
 run_crowd() {
     local memory_kibibytes=$(($1 * 1000000 / 1024)) descriptors=$2 name
-    mesh_process_settings="memory_mb = $1"
+    mesh_process_settings=$(printf 'memory_mb = %d\ndescriptors = %d\n' "$1" "$2")
+    # The node must not open more descriptors than its machine has.
+    mesh_node_wrapper=(bash -c "ulimit -n $2 && exec \"\$@\"" node)
     shift 2
     start environment "$binaries/standins/chervilpaddle-standin" crowd --port "$mesh_port" --nodes ${#mesh_names[@]} "$@"
     for name in "${mesh_names[@]}"; do start_mesh_node "$name"; done
--- a/tests/process/lib/mesh.sh
+++ b/tests/process/lib/mesh.sh
@@ -3,6 +3,8 @@
 
 mesh_names=(outer-1 outer-2 outer-3 inner-1 inner-2 spare-1)
 mesh_centres=(a b b a b a)
+# Command that runs a node's command; empty: none.
+mesh_node_wrapper=()
 mesh_port=${CHERVILPADDLE_PORT:-24000}
 
 # start_mesh_node NAME: starts the node of that backend server.
@@ -36,7 +38,7 @@
 level = info
 format = json
 EOF
-    start "node-$1" "$binaries/apps/chervilpaddled" --settings "$work/$1.ini"
+    start "node-$1" "${mesh_node_wrapper[@]}" "$binaries/apps/chervilpaddled" --settings "$work/$1.ini"
 }
 
 # start_mesh OPTIONS...: starts the environment and all nodes; returns when the load has started.
