Connections that do not identify themselves as peers are limited

Callers saw: nodes that answered nothing while a few hundred connections were opened to the port for peers and left.

Cause: all of them were accepted and kept until the handshake timed out after 5 s, which takes all descriptors of the process.

Fix: an eighth of the descriptors is for accepted connections on which no hello has arrived; beyond that the oldest is closed, by the decision that HttpServer uses. That is 512 of 4,100, above what a start of the whole fleet opens at one node.

--- a/src/chervilpaddle/controllers/resourcebudget.cpp
+++ b/src/chervilpaddle/controllers/resourcebudget.cpp
@@ -20,6 +20,7 @@
     // The rest is for files, and for connections to peers, to the backend server and to the platform.
     budget.callerConnections = machine.descriptors * 6 / 10;
     budget.operatorConnections = std::max(minOperatorConnections, machine.descriptors / 64);
+    budget.unidentifiedPeerConnections = machine.descriptors / 8;
     return budget;
 }
 
--- a/src/chervilpaddle/controllers/resourcebudget.h
+++ b/src/chervilpaddle/controllers/resourcebudget.h
@@ -25,6 +25,8 @@
     std::size_t callerConnections = 0;
     //! Connections to each of the ports for readiness and for operators.
     std::size_t operatorConnections = 0;
+    //! Connections to the port for peers whose other end has not said which peer it is.
+    std::size_t unidentifiedPeerConnections = 0;
 };
 
 //! Thread-safe.
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -98,7 +98,10 @@
 
 void MeshCore::makeControllers()
 {
-    m_transport = std::make_unique<PeerTransport>(m_context, makeTransportHooks(m_clock, m_links, m_log), m_responseMemory);
+    m_transport = std::make_unique<PeerTransport>(m_context,
+                                                  makeTransportHooks(m_clock, m_links, m_log),
+                                                  m_responseMemory,
+                                                  divideResources(m_settings.machine).unidentifiedPeerConnections);
     const TicketRegistry::Limits tickets{maxTicketRecords, maxTicketIssuers, maxTicketAnswerBytes};
     // Overload is handled by admission at the entry; prices along the call tree are switched off.
     PolicySwitches policy = m_settings.policy;
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -1,3 +1,4 @@
+#include <chervilpaddle/controllers/connectionlimit.h>
 #include <chervilpaddle/transport/bodyassembler.h>
 #include <chervilpaddle/transport/peertransport.h>
 
@@ -7,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -78,12 +80,13 @@
 class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl>
 {
 public:
-    Impl(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory)
+    Impl(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory, std::size_t maxUnidentified)
         : m_context(context)
         , m_hooks(std::move(hooks))
         , m_responseMemory(std::move(responseMemory))
         , m_acceptor(context)
         , m_acceptTimer(context)
+        , m_unidentifiedLimit(maxUnidentified)
     {
         configure(m_server);
         configure(m_client);
@@ -91,6 +94,7 @@
         m_server.set_validate_handler([this](const connection_hdl &handle) {
             return m_server.get_con_from_hdl(handle)->get_request_header("Sec-WebSocket-Version") == protocolVersion;
         });
+        m_server.set_fail_handler([this](const connection_hdl &handle) { removeUnidentified(handle); });
         m_server.set_open_handler([this](const connection_hdl &handle) {
             if (m_isShutDown) {
                 closeOn(m_server, handle);
@@ -211,11 +215,35 @@
                                         error ? acceptLater() : accept();
                                     }
                                     if (!error) {
+                                        addUnidentified(connection->get_handle());
                                         connection->start();
                                     }
                                 });
     }
 
+    void addUnidentified(const connection_hdl &handle)
+    {
+        if (m_unidentifiedLimit.isFull()) {
+            if (const auto displaced = m_unidentifiedLimit.displace(); displaced) {
+                const auto found = std::find_if(
+                    m_unidentified.begin(), m_unidentified.end(), [&displaced](const auto &entry) { return entry.second == *displaced; });
+                const connection_hdl displacedHandle = found->first;
+                removeUnidentified(displacedHandle);
+                closeOn(m_server, displacedHandle);
+            }
+        }
+        m_unidentified[handle] = m_unidentifiedLimit.add();
+    }
+
+    //! Does nothing if the connection has been identified.
+    void removeUnidentified(const connection_hdl &handle)
+    {
+        if (const auto found = m_unidentified.find(handle); found != m_unidentified.end()) {
+            m_unidentifiedLimit.remove(found->second);
+            m_unidentified.erase(found);
+        }
+    }
+
     void acceptLater()
     {
         m_acceptTimer.expires_after(acceptRetryDelay);
@@ -354,8 +382,8 @@
             assemblerOf(id).add(*part);
             return;
         }
-        if (const auto *hello = std::get_if<HelloMessage>(&frame.message); hello != nullptr && hello->takesBodyParts) {
-            m_takesBodyParts.insert(id);
+        if (const auto *hello = std::get_if<HelloMessage>(&frame.message); hello != nullptr) {
+            handleHello(id, *hello);
         }
         if (auto *answer = std::get_if<ResponseMessage>(&frame.message); answer != nullptr && answer->payload.bodyBytesInParts > 0) {
             assemblerOf(id).complete(*answer);
@@ -368,6 +396,16 @@
         }
     }
 
+    void handleHello(ConnectionId id, const HelloMessage &hello)
+    {
+        if (hello.takesBodyParts) {
+            m_takesBodyParts.insert(id);
+        }
+        if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            removeUnidentified(inbound->second);
+        }
+    }
+
     BodyAssembler &assemblerOf(ConnectionId id)
     {
         const auto post = [this](std::function<void()> action) { boost::asio::post(m_context, std::move(action)); };
@@ -411,6 +449,9 @@
         m_unreadAnswers.erase(id);
         m_assemblers.erase(id);
         m_takesBodyParts.erase(id);
+        if (const auto inbound = m_inbound.find(id); inbound != m_inbound.end()) {
+            removeUnidentified(inbound->second);
+        }
         if (m_outbound.erase(id) + m_inbound.erase(id) != 0) {
             m_hooks.closed(id);
         }
@@ -440,6 +481,9 @@
     std::unordered_set<ConnectionId> m_takesBodyParts;
     tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
+    //! Accepted connections on which no hello has arrived.
+    ConnectionLimit m_unidentifiedLimit;
+    std::map<connection_hdl, ServedConnection, std::owner_less<connection_hdl>> m_unidentified;
     Server m_server;
     Client m_client;
     std::uint64_t m_lastId = 0;
@@ -448,8 +492,11 @@
     std::unordered_map<ConnectionId, connection_hdl> m_inbound;
 };
 
-PeerTransport::PeerTransport(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory)
-    : m_impl(std::make_shared<Impl>(context, std::move(hooks), std::move(responseMemory)))
+PeerTransport::PeerTransport(boost::asio::io_context &context,
+                             Hooks hooks,
+                             std::shared_ptr<ResponseMemory> responseMemory,
+                             std::size_t maxUnidentified)
+    : m_impl(std::make_shared<Impl>(context, std::move(hooks), std::move(responseMemory), maxUnidentified))
 {
 }
 
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -16,6 +16,8 @@
 class PeerTransport
 {
 public:
+    static constexpr std::size_t defaultMaxUnidentified = 512;
+
     struct Hooks
     {
         Clock clock;
@@ -27,8 +29,12 @@
         std::function<void(ConnectionId, std::error_code)> frameRejected;
     };
 
-    //! Answers that wait for a peer take a share of `responseMemory`; without one, only each connection is bounded.
-    PeerTransport(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory = nullptr);
+    //! Answers that wait for a peer take a share of `responseMemory`; without one, only each connection is bounded. At most
+    //! `maxUnidentified` accepted connections may be open on which no hello has arrived: beyond that, the oldest of them is closed.
+    PeerTransport(boost::asio::io_context &context,
+                  Hooks hooks,
+                  std::shared_ptr<ResponseMemory> responseMemory = nullptr,
+                  std::size_t maxUnidentified = defaultMaxUnidentified);
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
     PeerTransport &operator=(const PeerTransport &) = delete;
