A client that reads slowly gets its response whole

Callers saw: a long response that was cut after 30 s although they had been reading it all the time.

Cause: the time to write a response was limited as a whole, whatever the client took of it.

Fix: the limit begins again with each write that the client has taken something of. A client that reads a little for ever is held back by what is taken from others instead: its response is given up when the memory for responses is used up, and its connection when a new one needs the place.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -27,7 +27,6 @@
 using asio::ip::tcp;
 
 constexpr auto bodyTimeout = std::chrono::seconds(10);
-constexpr auto writeTimeout = std::chrono::seconds(30);
 //! What is read ahead of the next request while one is being handled.
 constexpr std::size_t maxPipelinedBytes = maxHeaderBytes;
 //! How long, and how much of its input, a client that has been sent its last response is read on.
@@ -452,16 +451,28 @@
             m_response->set(http::field::keep_alive, "timeout=" + std::to_string(idleTime.count()));
         }
         m_response->prepare_payload();
-        m_stream.expires_after(writeTimeout);
-        http::async_write(m_stream, *m_response, unlessSuperseded([this](beast::error_code error) {
-                              m_response.reset();
-                              m_memoryShare.reset();
-                              if (error) {
-                                  close(CloseReason::WriteError, error);
-                              } else {
-                                  m_announcedReason ? closeGracefully() : waitForRequest();
-                              }
-                          }));
+        m_serializer.emplace(*m_response);
+        writeSome();
+    }
+
+    //! The timeout begins again whenever the client has taken something.
+    void writeSome()
+    {
+        m_stream.expires_after(m_state->options.writeTimeout);
+        http::async_write_some(m_stream, *m_serializer, unlessSuperseded([this](beast::error_code error) {
+                                   if (!error && !m_serializer->is_done()) {
+                                       writeSome();
+                                       return;
+                                   }
+                                   m_serializer.reset();
+                                   m_response.reset();
+                                   m_memoryShare.reset();
+                                   if (error) {
+                                       close(CloseReason::WriteError, error);
+                                   } else {
+                                       m_announcedReason ? closeGracefully() : waitForRequest();
+                                   }
+                               }));
     }
 
     //! Takes memory for a response until it has been sent; if there is not enough, the response is replaced by an error.
@@ -557,6 +568,7 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
+    std::optional<http::response_serializer<http::string_body>> m_serializer;
     std::shared_ptr<ResponseMemory::Share> m_memoryShare;
     std::function<void()> m_disconnectHandler;
     const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -50,6 +50,8 @@
         std::size_t maxTotalBodyBytes = 256 * mebibyte;
         //! See setLimits(). Clients are told a shorter idle time, see announcedIdleTime().
         HttpLimits limits{};
+        //! A client that takes nothing of its response for this long is cut off.
+        Duration writeTimeout = std::chrono::seconds(30);
         //! Called once for each connection that has ended, on the connection's thread; not for those that are still open when
         //! their context stops.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -802,6 +802,39 @@
     }
 }
 
+//! A client may read slowly: as long as it takes some of its response, it must get it whole, however long that takes.
+Test(httpserver, a_client_that_reads_slowly_gets_its_response_whole)
+{
+    constexpr std::size_t bodyBytes = 8 * mebibyte;
+    constexpr std::size_t readBytes = 48 * kibibyte;
+    asio::io_context context;
+    HttpServer::Options options;
+    options.address = {"127.0.0.1", freePort()};
+    options.writeTimeout = std::chrono::seconds(2);
+    HttpServer server({&context}, options, [](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(textResponse(200, "text/plain", std::string(bodyBytes, 'x')));
+    });
+    cr_assert_not(server.listen());
+    std::thread thread([&context] { context.run(); });
+    asio::io_context clientContext;
+    tcp::socket client(clientContext, tcp::v4());
+    client.set_option(asio::socket_base::receive_buffer_size(64 * kibibyte));
+    client.connect({asio::ip::make_address(options.address.host), options.address.port});
+    send(client, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    std::string block(readBytes, '\0');
+    std::size_t received = 0;
+    boost::system::error_code error;
+    const auto begin = std::chrono::steady_clock::now();
+    while (!error) {
+        received += asio::read(client, asio::buffer(block), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    }
+    cr_expect_gt(received, bodyBytes, "%zu bytes: %s", received, error.message().c_str());
+    cr_expect_gt(std::chrono::steady_clock::now() - begin, 2 * options.writeTimeout);
+    context.stop();
+    thread.join();
+}
+
 //! Callers that do not read their responses must not use up the memory that others need.
 Test(httpserver, responses_that_are_not_read_do_not_use_up_the_memory)
 {
