--- a/src/chervilpaddle/controllers/all.h
+++ b/src/chervilpaddle/controllers/all.h
@@ -3,6 +3,7 @@
 //! Convenience header for the controllers. Including individual headers compiles faster.
 
 #include <chervilpaddle/controllers/admissionqueue.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/controllers/configurationcontroller.h>
 #include <chervilpaddle/controllers/configurationsync.h>
 #include <chervilpaddle/controllers/connectionlimit.h>
@@ -22,7 +23,6 @@
 #include <chervilpaddle/controllers/ratelimiter.h>
 #include <chervilpaddle/controllers/requestcoalescer.h>
 #include <chervilpaddle/controllers/resourcebudget.h>
-#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/controllers/retryallowance.h>
 #include <chervilpaddle/controllers/router.h>
 #include <chervilpaddle/controllers/servicetimes.h>
--- a/src/chervilpaddle/controllers/responsememory.cpp
+++ b/src/chervilpaddle/controllers/bodymemory.cpp
@@ -1,4 +1,4 @@
-#include <chervilpaddle/controllers/responsememory.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 
 #include <utility>
 
@@ -6,57 +6,57 @@
 
 namespace {
 
-//! Responses that may have no end are given up before others while they take more than this part of the memory.
+//! Messages that may have no end are given up before others while they take more than this part of the memory.
 constexpr std::size_t openEndedDivisor = 4;
 
 } // namespace
 
-ResponseMemory::Share::Share(std::shared_ptr<ResponseMemory> memory, std::uint64_t id)
+BodyMemory::Share::Share(std::shared_ptr<BodyMemory> memory, std::uint64_t id)
     : m_memory(std::move(memory))
     , m_id(id)
 {
 }
 
-ResponseMemory::Share::~Share()
+BodyMemory::Share::~Share()
 {
     m_memory->release(m_id);
 }
 
-bool ResponseMemory::Share::update(Use use, std::size_t bytes)
+bool BodyMemory::Share::update(Use use, std::size_t bytes)
 {
     return m_memory->update(m_id, use, bytes);
 }
 
-bool ResponseMemory::Share::isGivenUp() const
+bool BodyMemory::Share::isGivenUp() const
 {
     return m_memory->isGivenUp(m_id);
 }
 
-ResponseMemory::ResponseMemory(std::size_t maxBytes)
+BodyMemory::BodyMemory(std::size_t maxBytes)
     : m_maxBytes(maxBytes)
 {
 }
 
-std::unique_ptr<ResponseMemory::Share> ResponseMemory::hold(std::function<void()> giveUp)
+std::unique_ptr<BodyMemory::Share> BodyMemory::hold(std::function<void()> giveUp)
 {
     const std::lock_guard lock(m_mutex);
     m_entries[++m_lastId].giveUp = std::move(giveUp);
     return std::make_unique<Share>(shared_from_this(), m_lastId);
 }
 
-std::size_t ResponseMemory::heldBytes() const
+std::size_t BodyMemory::heldBytes() const
 {
     const std::lock_guard lock(m_mutex);
     return m_heldBytes;
 }
 
-std::uint64_t ResponseMemory::givenUp() const
+std::uint64_t BodyMemory::givenUp() const
 {
     const std::lock_guard lock(m_mutex);
     return m_givenUp;
 }
 
-bool ResponseMemory::update(std::uint64_t id, Use use, std::size_t bytes)
+bool BodyMemory::update(std::uint64_t id, Use use, std::size_t bytes)
 {
     std::vector<std::function<void()>> giveUps;
     bool isKept = true;
@@ -84,7 +84,7 @@
     return isKept;
 }
 
-void ResponseMemory::resize(Entry &entry, Use use, std::size_t bytes)
+void BodyMemory::resize(Entry &entry, Use use, std::size_t bytes)
 {
     m_heldBytes = m_heldBytes - entry.bytes + bytes;
     m_openEndedBytes -= entry.use == Use::ReceivingOpenEnded ? entry.bytes : 0;
@@ -93,7 +93,7 @@
     entry.bytes = bytes;
 }
 
-ResponseMemory::Entry &ResponseMemory::nextToGiveUp(Entry &updated)
+BodyMemory::Entry &BodyMemory::nextToGiveUp(Entry &updated)
 {
     Entry *largestOpenEnded = nullptr;
     Entry *longestHeld = nullptr;
@@ -112,7 +112,7 @@
     return next != nullptr ? *next : updated;
 }
 
-void ResponseMemory::release(std::uint64_t id)
+void BodyMemory::release(std::uint64_t id)
 {
     const std::lock_guard lock(m_mutex);
     Entry &entry = m_entries.at(id);
@@ -120,7 +120,7 @@
     m_entries.erase(id);
 }
 
-bool ResponseMemory::isGivenUp(std::uint64_t id) const
+bool BodyMemory::isGivenUp(std::uint64_t id) const
 {
     const std::lock_guard lock(m_mutex);
     return m_entries.at(id).isGivenUp;
--- a/src/chervilpaddle/controllers/responsememory.h
+++ b/src/chervilpaddle/controllers/bodymemory.h
@@ -9,14 +9,14 @@
 
 namespace chervilpaddle {
 
-//! Bounds the memory that all responses of a node take together, those that are received and those that wait for a reader. Once it is
-//! used up, responses are given up: the largest of those that may have no end while these take more than a quarter of it, and then
+//! Bounds the memory that the bodies of messages take together, those that are received and those that wait for a reader. Once it is
+//! used up, messages are given up: the largest of those that may have no end while these take more than a quarter of it, and then
 //! those that have been held for longest.
 //! Thread-safe. To be created as a shared pointer, as its shares keep it alive.
-class ResponseMemory : public std::enable_shared_from_this<ResponseMemory>
+class BodyMemory : public std::enable_shared_from_this<BodyMemory>
 {
 public:
-    //! What a response is held for.
+    //! What a message is held for.
     enum class Use {
         Receiving, //!< It is received up to a length that is known.
         ReceivingOpenEnded, //!< It is received and does not announce its length, so that it may have no end.
@@ -24,33 +24,33 @@
         Committed, //!< It waits for its reader and can no longer be given up.
     };
 
-    //! The part of the memory that a response takes, released with this object. To be used by one thread at a time; another one may
+    //! The part of the memory that a message takes, released with this object. To be used by one thread at a time; another one may
     //! give it up meanwhile.
     class Share
     {
     public:
-        Share(std::shared_ptr<ResponseMemory> memory, std::uint64_t id);
+        Share(std::shared_ptr<BodyMemory> memory, std::uint64_t id);
         ~Share();
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
 
-        //! Sets the size. Returns false if the response is given up or does not fit; it must then be discarded.
+        //! Sets the size. Returns false if the message is given up or does not fit; it must then be discarded.
         bool update(Use use, std::size_t bytes);
         bool isGivenUp() const;
 
     private:
-        std::shared_ptr<ResponseMemory> m_memory;
+        std::shared_ptr<BodyMemory> m_memory;
         std::uint64_t m_id;
     };
 
-    explicit ResponseMemory(std::size_t maxBytes);
+    explicit BodyMemory(std::size_t maxBytes);
 
     //! Creates an empty share. `giveUp` is called at most once, from any thread that updates another share, and must not block; the
-    //! response's memory is to be freed soon after.
+    //! message's memory is to be freed soon after.
     std::unique_ptr<Share> hold(std::function<void()> giveUp);
 
     std::size_t heldBytes() const;
-    //! Number of responses that were given up or did not fit.
+    //! Number of messages that were given up or did not fit.
     std::uint64_t givenUp() const;
 
 private:
--- a/src/chervilpaddle/mesh/meshbackend.cpp
+++ b/src/chervilpaddle/mesh/meshbackend.cpp
@@ -14,7 +14,7 @@
 //! Shortest idle time-out in common use; applies if the server announces none.
 constexpr Duration maxIdleTime = std::chrono::seconds(4);
 
-HttpClient::Options clientOptions(const Endpoint &address, const PlatformProtocol &protocol, std::shared_ptr<ResponseMemory> responseMemory)
+HttpClient::Options clientOptions(const Endpoint &address, const PlatformProtocol &protocol, std::shared_ptr<BodyMemory> responseMemory)
 {
     HttpClient::Options options;
     options.address = address;
@@ -34,7 +34,7 @@
                          const Endpoint &address,
                          const PlatformProtocol &protocol,
                          Clock clock,
-                         std::shared_ptr<ResponseMemory> responseMemory,
+                         std::shared_ptr<BodyMemory> responseMemory,
                          Finished finished)
     : m_protocol(protocol)
     , m_clock(std::move(clock))
--- a/src/chervilpaddle/mesh/meshbackend.h
+++ b/src/chervilpaddle/mesh/meshbackend.h
@@ -16,7 +16,7 @@
                 const Endpoint &address,
                 const PlatformProtocol &protocol,
                 Clock clock,
-                std::shared_ptr<ResponseMemory> responseMemory,
+                std::shared_ptr<BodyMemory> responseMemory,
                 Finished finished);
 
     //! Sends the run's request; `finished` is called when it has ended.
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -84,7 +84,7 @@
     , m_routes(std::make_shared<const RouteTable>())
     , m_trafficSplit(uniformFraction(m_random))
     , m_retryBudget(settings.retryBudget, m_clock)
-    , m_responseMemory(std::make_shared<ResponseMemory>(divideResources(settings.machine).responseBytes))
+    , m_responseMemory(std::make_shared<BodyMemory>(divideResources(settings.machine).responseBytes))
     , m_backend(context,
                 settings.backend,
                 protocol,
@@ -807,7 +807,7 @@
     return *m_routes;
 }
 
-const std::shared_ptr<ResponseMemory> &MeshCore::responseMemory() const
+const std::shared_ptr<BodyMemory> &MeshCore::responseMemory() const
 {
     return m_responseMemory;
 }
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <chervilpaddle/base/latencyhistogram.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/controllers/configurationfetch.h>
 #include <chervilpaddle/controllers/delayedretrydetector.h>
 #include <chervilpaddle/controllers/entryadmission.h>
 #include <chervilpaddle/controllers/gracefulshutdown.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
 #include <chervilpaddle/controllers/localcalls.h>
-#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/controllers/retrybudget.h>
 #include <chervilpaddle/controllers/storereplication.h>
 #include <chervilpaddle/controllers/trafficsplit.h>
@@ -85,7 +85,7 @@
     const RouteTable &routes() const;
     const StoreReplication &replication() const;
     //! The memory for the responses of backend servers; outlives this object where it is shared.
-    const std::shared_ptr<ResponseMemory> &responseMemory() const;
+    const std::shared_ptr<BodyMemory> &responseMemory() const;
 
 private:
     //! A request in flight, with what is needed to log it and to respond.
@@ -177,7 +177,7 @@
     DelayedRetryDetector m_delayedRetries;
     Rank m_publishedClearingRank = 0;
     TimePoint m_clearingRankPublishedAt;
-    std::shared_ptr<ResponseMemory> m_responseMemory;
+    std::shared_ptr<BodyMemory> m_responseMemory;
     MeshBackend m_backend;
     HttpClient m_storeClient;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/chervilpaddle/node/backendadapter.cpp
+++ b/src/chervilpaddle/node/backendadapter.cpp
@@ -22,7 +22,7 @@
     return response.status == statusServiceUnavailable && response.headers.find(headers::notRun) != nullptr;
 }
 
-HttpClient::Options clientOptions(const Endpoint &address, std::shared_ptr<ResponseMemory> responseMemory)
+HttpClient::Options clientOptions(const Endpoint &address, std::shared_ptr<BodyMemory> responseMemory)
 {
     HttpClient::Options options;
     options.address = address;
@@ -64,7 +64,7 @@
 BackendAdapter::BackendAdapter(boost::asio::io_context &context,
                                const Endpoint &address,
                                Incarnation incarnation,
-                               std::shared_ptr<ResponseMemory> responseMemory,
+                               std::shared_ptr<BodyMemory> responseMemory,
                                Hooks hooks)
     : m_client(context, clientOptions(address, std::move(responseMemory)))
     , m_healthClient(context, {address, maxHealthBodyBytes})
--- a/src/chervilpaddle/node/backendadapter.h
+++ b/src/chervilpaddle/node/backendadapter.h
@@ -25,7 +25,7 @@
     BackendAdapter(boost::asio::io_context &context,
                    const Endpoint &address,
                    Incarnation incarnation,
-                   std::shared_ptr<ResponseMemory> responseMemory,
+                   std::shared_ptr<BodyMemory> responseMemory,
                    Hooks hooks);
 
     void start(const Run &run);
--- a/src/chervilpaddle/node/nodecore.cpp
+++ b/src/chervilpaddle/node/nodecore.cpp
@@ -33,7 +33,7 @@
     , m_random(entropySeed())
     , m_incarnation(randomIdentifier(m_random))
     , m_rates(std::make_shared<const RateTable>(ContractBundle(), InstanceList()))
-    , m_responseMemory(std::make_shared<ResponseMemory>(maxResponseBytes))
+    , m_responseMemory(std::make_shared<BodyMemory>(maxResponseBytes))
     , m_backend(context,
                 settings.backend,
                 m_incarnation,
@@ -452,7 +452,7 @@
     return *m_executor;
 }
 
-const std::shared_ptr<ResponseMemory> &NodeCore::responseMemory() const
+const std::shared_ptr<BodyMemory> &NodeCore::responseMemory() const
 {
     return m_responseMemory;
 }
--- a/src/chervilpaddle/node/nodecore.h
+++ b/src/chervilpaddle/node/nodecore.h
@@ -73,7 +73,7 @@
     const Executor &executor() const;
     const Router &router() const;
     //! The memory for the responses of backend servers; outlives this object where it is shared.
-    const std::shared_ptr<ResponseMemory> &responseMemory() const;
+    const std::shared_ptr<BodyMemory> &responseMemory() const;
     const LinkController &links() const;
     const ConfigurationSync &sync() const;
     const ConfigurationController &configuration() const;
@@ -130,7 +130,7 @@
     ConfigurationController m_configuration;
     MembershipController m_membership;
     RcuCell<RateTable> m_rates;
-    std::shared_ptr<ResponseMemory> m_responseMemory;
+    std::shared_ptr<BodyMemory> m_responseMemory;
     BackendAdapter m_backend;
     ConfigurationClient m_configurationClient;
     std::unique_ptr<PeerTransport> m_transport;
--- a/src/chervilpaddle/transport/bodyassembler.cpp
+++ b/src/chervilpaddle/transport/bodyassembler.cpp
@@ -4,7 +4,7 @@
 
 namespace chervilpaddle {
 
-BodyAssembler::BodyAssembler(std::shared_ptr<ResponseMemory> memory, Post post)
+BodyAssembler::BodyAssembler(std::shared_ptr<BodyMemory> memory, Post post)
     : m_memory(std::move(memory))
     , m_post(std::move(post))
 {
@@ -17,7 +17,7 @@
         return;
     }
     const std::size_t size = assembly.body.size() + part.bytes.size();
-    if (size > maxBodyBytes || (assembly.share && !assembly.share->update(ResponseMemory::Use::Receiving, size))) {
+    if (size > maxBodyBytes || (assembly.share && !assembly.share->update(BodyMemory::Use::Receiving, size))) {
         discard(assembly);
         return;
     }
--- a/src/chervilpaddle/transport/bodyassembler.h
+++ b/src/chervilpaddle/transport/bodyassembler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chervilpaddle/controllers/responsememory.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/peer/messages.h>
 
 #include <functional>
@@ -19,7 +19,7 @@
     using Post = std::function<void(std::function<void()> action)>;
 
     //! The bodies take shares of `memory`; without one, only each of them is bounded.
-    BodyAssembler(std::shared_ptr<ResponseMemory> memory, Post post);
+    BodyAssembler(std::shared_ptr<BodyMemory> memory, Post post);
 
     void add(const BodyPartMessage &part);
     //! Moves the body of an answer whose parts have been added into it. An answer whose body was given up or is not whole gets the code
@@ -30,14 +30,14 @@
     struct Assembly
     {
         std::string body;
-        std::unique_ptr<ResponseMemory::Share> share;
+        std::unique_ptr<BodyMemory::Share> share;
         bool isDiscarded = false;
     };
 
     Assembly &assemblyOf(const TicketId &ticket);
     static void discard(Assembly &assembly);
 
-    std::shared_ptr<ResponseMemory> m_memory;
+    std::shared_ptr<BodyMemory> m_memory;
     Post m_post;
     std::map<TicketId, std::shared_ptr<Assembly>> m_assemblies;
 };
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -252,7 +252,7 @@
         const std::string &body = m_parser->get().body();
         // A body without a length grows in leaps, one with a length is reserved at once, although most of it may never arrive.
         const std::size_t bodyBytes = isOpenEnded ? body.capacity() : body.size();
-        return m_memoryShare->update(isOpenEnded ? ResponseMemory::Use::ReceivingOpenEnded : ResponseMemory::Use::Receiving,
+        return m_memoryShare->update(isOpenEnded ? BodyMemory::Use::ReceivingOpenEnded : BodyMemory::Use::Receiving,
                                      m_buffer.capacity() + bodyBytes);
     }
 
@@ -432,7 +432,7 @@
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
-    std::unique_ptr<ResponseMemory::Share> m_memoryShare;
+    std::unique_ptr<BodyMemory::Share> m_memoryShare;
     //! Status and fields of the response that is being received.
     HttpResponse m_response;
     FoldedLineDetector m_foldedLines;
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -3,8 +3,8 @@
 #include <chervilpaddle/base/clock.h>
 #include <chervilpaddle/base/ids.h>
 #include <chervilpaddle/base/resultcode.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/controllers/instancelist.h>
-#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/transport/httpmessage.h>
 
 #include <boost/asio/io_context.hpp>
@@ -63,7 +63,7 @@
         //! Returns whether the connection may be reused after a complete response. If not set, it always may.
         std::function<bool(const HttpResponse &)> mayReuseAfter = nullptr;
         //! Bounds the memory of the responses that are being received, together with others. If not set, only each of them is bounded.
-        std::shared_ptr<ResponseMemory> responseMemory = nullptr;
+        std::shared_ptr<BodyMemory> responseMemory = nullptr;
     };
     using Callback = std::function<void(HttpResult)>;
 
--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -191,7 +191,7 @@
     //! May be called from any thread.
     void respond(std::uint64_t exchange, HttpResponse response)
     {
-        std::shared_ptr<ResponseMemory::Share> share = holdMemoryFor(response);
+        std::shared_ptr<BodyMemory::Share> share = holdMemoryFor(response);
         asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange, share, response = std::move(response)]() mutable {
             if (self->m_exchange == exchange && self->m_phase == ConnectionPhase::Handling) {
                 const bool isGivenUp = share && share->isGivenUp();
@@ -476,7 +476,7 @@
     }
 
     //! Takes memory for a response until it has been sent; if there is not enough, the response is replaced by an error.
-    std::unique_ptr<ResponseMemory::Share> holdMemoryFor(HttpResponse &response)
+    std::unique_ptr<BodyMemory::Share> holdMemoryFor(HttpResponse &response)
     {
         if (!m_state->options.responseMemory || response.body.empty()) {
             return nullptr;
@@ -488,7 +488,7 @@
                 }
             });
         });
-        if (!share->update(ResponseMemory::Use::Sending, response.body.capacity())) {
+        if (!share->update(BodyMemory::Use::Sending, response.body.capacity())) {
             response = lastResponse(ResultCode::AnswerTooLarge);
             return nullptr;
         }
@@ -569,7 +569,7 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
     std::optional<http::response_serializer<http::string_body>> m_serializer;
-    std::shared_ptr<ResponseMemory::Share> m_memoryShare;
+    std::shared_ptr<BodyMemory::Share> m_memoryShare;
     std::function<void()> m_disconnectHandler;
     const std::chrono::steady_clock::time_point m_openedAt = std::chrono::steady_clock::now();
     std::chrono::steady_clock::time_point m_lastRequestAt = m_openedAt;
--- a/src/chervilpaddle/transport/httpserver.h
+++ b/src/chervilpaddle/transport/httpserver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <chervilpaddle/base/units.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/controllers/instancelist.h>
-#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/transport/closedconnection.h>
 #include <chervilpaddle/transport/httplimits.h>
 #include <chervilpaddle/transport/httpmessage.h>
@@ -56,7 +56,7 @@
         //! their context stops.
         std::function<void(const ClosedConnection &)> connectionClosed = nullptr;
         //! Bounds the memory of the responses that are being sent, together with others. If not set, it is not bounded.
-        std::shared_ptr<ResponseMemory> responseMemory = nullptr;
+        std::shared_ptr<BodyMemory> responseMemory = nullptr;
     };
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -80,7 +80,7 @@
 class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl>
 {
 public:
-    Impl(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<ResponseMemory> responseMemory, std::size_t maxUnidentified)
+    Impl(boost::asio::io_context &context, Hooks hooks, std::shared_ptr<BodyMemory> responseMemory, std::size_t maxUnidentified)
         : m_context(context)
         , m_hooks(std::move(hooks))
         , m_responseMemory(std::move(responseMemory))
@@ -164,7 +164,7 @@
             return;
         }
         auto share = m_responseMemory->hold([] {}); // A committed share is never given up.
-        if (!share->update(ResponseMemory::Use::Committed, answer->payload.body->size())) {
+        if (!share->update(BodyMemory::Use::Committed, answer->payload.body->size())) {
             ResponseMessage replacement = *answer;
             replacement.code = ResultCode::AnswerTooLarge;
             replacement.payload = {};
@@ -461,20 +461,20 @@
     struct Mark
     {
         std::uint64_t number = 0;
-        std::vector<std::unique_ptr<ResponseMemory::Share>> shares;
+        std::vector<std::unique_ptr<BodyMemory::Share>> shares;
     };
     //! Answers that the peer may not have read.
     struct UnreadAnswers
     {
         std::deque<Mark> marks;
         //! Of those that no ping follows yet.
-        std::vector<std::unique_ptr<ResponseMemory::Share>> shares;
+        std::vector<std::unique_ptr<BodyMemory::Share>> shares;
         std::size_t unmarkedBytes = 0;
     };
 
     boost::asio::io_context &m_context;
     Hooks m_hooks;
-    std::shared_ptr<ResponseMemory> m_responseMemory;
+    std::shared_ptr<BodyMemory> m_responseMemory;
     std::unordered_map<ConnectionId, UnreadAnswers> m_unreadAnswers;
     std::uint64_t m_lastMark = 0;
     std::unordered_map<ConnectionId, BodyAssembler> m_assemblers;
@@ -494,7 +494,7 @@
 
 PeerTransport::PeerTransport(boost::asio::io_context &context,
                              Hooks hooks,
-                             std::shared_ptr<ResponseMemory> responseMemory,
+                             std::shared_ptr<BodyMemory> responseMemory,
                              std::size_t maxUnidentified)
     : m_impl(std::make_shared<Impl>(context, std::move(hooks), std::move(responseMemory), maxUnidentified))
 {
--- a/src/chervilpaddle/transport/peertransport.h
+++ b/src/chervilpaddle/transport/peertransport.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <chervilpaddle/controllers/bodymemory.h>
 #include <chervilpaddle/controllers/linkcontroller.h>
-#include <chervilpaddle/controllers/responsememory.h>
 #include <chervilpaddle/peer/peertraffic.h>
 
 #include <boost/asio/io_context.hpp>
@@ -33,7 +33,7 @@
     //! `maxUnidentified` accepted connections may be open on which no hello has arrived: beyond that, the oldest of them is closed.
     PeerTransport(boost::asio::io_context &context,
                   Hooks hooks,
-                  std::shared_ptr<ResponseMemory> responseMemory = nullptr,
+                  std::shared_ptr<BodyMemory> responseMemory = nullptr,
                   std::size_t maxUnidentified = defaultMaxUnidentified);
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
--- a/tests/controllers/responsememory.cpp
+++ b/tests/controllers/bodymemory.cpp
@@ -1,4 +1,4 @@
-#include <chervilpaddle/controllers/responsememory.h>
+#include <chervilpaddle/controllers/bodymemory.h>
 
 #include <chervilpaddle/base/random.h>
 #include <chervilpaddle/base/units.h>
@@ -7,7 +7,7 @@
 #include <criterion/criterion.h>
 
 using namespace chervilpaddle;
-using Use = ResponseMemory::Use;
+using Use = BodyMemory::Use;
 
 namespace {
 
@@ -20,10 +20,10 @@
     std::size_t bytes = 0;
     std::size_t length = 0;
     bool isGivenUp = false;
-    std::unique_ptr<ResponseMemory::Share> share = nullptr;
+    std::unique_ptr<BodyMemory::Share> share = nullptr;
 };
 
-std::unique_ptr<Response> hold(ResponseMemory &memory, Use use, std::size_t bytes = 0, std::size_t length = 0)
+std::unique_ptr<Response> hold(BodyMemory &memory, Use use, std::size_t bytes = 0, std::size_t length = 0)
 {
     auto response = std::make_unique<Response>(Response{use, bytes, length});
     response->share = memory.hold([held = response.get()] { held->isGivenUp = true; });
@@ -35,9 +35,9 @@
 
 } // namespace
 
-Test(responsememory, a_share_is_released_with_its_response)
+Test(bodymemory, a_share_is_released_with_its_response)
 {
-    const auto memory = std::make_shared<ResponseMemory>(maxBytes);
+    const auto memory = std::make_shared<BodyMemory>(maxBytes);
     for (int i = 0; i < 100; ++i) {
         const auto response = hold(*memory, Use::Receiving, 8 * mebibyte);
         cr_assert_not(response->isGivenUp);
@@ -49,7 +49,7 @@
     cr_assert_eq(memory->givenUp(), 0);
 }
 
-Test(responsememory, the_order_in_which_responses_are_given_up)
+Test(bodymemory, the_order_in_which_responses_are_given_up)
 {
     struct Case
     {
@@ -72,7 +72,7 @@
         {"all but those that are committed", {{Use::Committed, 33}, {Use::Sending, 4}}, 8, {1}, false},
     };
     for (const Case &c : cases) {
-        const auto memory = std::make_shared<ResponseMemory>(maxBytes);
+        const auto memory = std::make_shared<BodyMemory>(maxBytes);
         std::vector<std::unique_ptr<Response>> responses;
         for (const auto &[use, size] : c.held) {
             responses.push_back(hold(*memory, use, size * mebibyte));
@@ -90,9 +90,9 @@
     }
 }
 
-Test(responsememory, a_response_that_cannot_be_withdrawn_is_refused_before_it_is_committed)
+Test(bodymemory, a_response_that_cannot_be_withdrawn_is_refused_before_it_is_committed)
 {
-    const auto memory = std::make_shared<ResponseMemory>(maxBytes);
+    const auto memory = std::make_shared<BodyMemory>(maxBytes);
     const auto first = hold(*memory, Use::Committed, 30 * mebibyte);
     const auto second = hold(*memory, Use::Committed, 11 * mebibyte);
     cr_assert_not(first->isGivenUp);
@@ -101,9 +101,9 @@
 }
 
 //! A faulty server sends responses without end beside many sound ones, with and without a length, at the rates of a node under load.
-Test(responsememory, responses_without_end_do_not_displace_sound_ones)
+Test(bodymemory, responses_without_end_do_not_displace_sound_ones)
 {
-    const auto memory = std::make_shared<ResponseMemory>(maxBytes);
+    const auto memory = std::make_shared<BodyMemory>(maxBytes);
     RandomSource random(30);
     std::vector<std::unique_ptr<Response>> responses;
     int ended = 0;
--- a/tests/mesh/meshbackend.cpp
+++ b/tests/mesh/meshbackend.cpp
@@ -259,7 +259,7 @@
 namespace {
 
 //! Runs one call for each script, all at the same time, and returns how they ended.
-std::map<RunId, BackendResult> runAll(const std::vector<Script> &scripts, const std::shared_ptr<ResponseMemory> &memory, Duration deadline)
+std::map<RunId, BackendResult> runAll(const std::vector<Script> &scripts, const std::shared_ptr<BodyMemory> &memory, Duration deadline)
 {
     asio::io_context context;
     asio::io_context serverContext;
@@ -317,7 +317,7 @@
         scripts.push_back(slow);
         scripts.push_back({chunked + "3\r\none\r\n0\r\n\r\n"});
     }
-    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    const auto memory = std::make_shared<BodyMemory>(8 * mebibyte);
     const auto start = steadyClock()();
     const auto results = runAll(scripts, memory, std::chrono::seconds(30));
     cr_expect_lt(steadyClock()() - start, std::chrono::seconds(20), "given up only at the deadline");
@@ -337,7 +337,7 @@
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n";
     const std::string body(mebibyte - 64 * kibibyte, 'b');
     std::vector<Script> scripts(8, {head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body});
-    const auto results = runAll(scripts, std::make_shared<ResponseMemory>(8 * mebibyte), std::chrono::seconds(30));
+    const auto results = runAll(scripts, std::make_shared<BodyMemory>(8 * mebibyte), std::chrono::seconds(30));
     for (const auto &[run, result] : results) {
         cr_expect_eq(result.code, ResultCode::Done, "%s", describe(result.code).name);
         cr_expect(result.payload.body && *result.payload.body == body);
--- a/tests/transport/bodyassembler.cpp
+++ b/tests/transport/bodyassembler.cpp
@@ -25,7 +25,7 @@
 struct Fixture
 {
     explicit Fixture(std::size_t memoryBytes)
-        : memory(std::make_shared<ResponseMemory>(memoryBytes))
+        : memory(std::make_shared<BodyMemory>(memoryBytes))
         , assembler(memory, [this](std::function<void()> action) { posted.push_back(std::move(action)); })
     {
     }
@@ -38,7 +38,7 @@
     }
 
     std::vector<std::function<void()>> posted;
-    std::shared_ptr<ResponseMemory> memory;
+    std::shared_ptr<BodyMemory> memory;
     BodyAssembler assembler;
 };
 
--- a/tests/transport/httpserver.cpp
+++ b/tests/transport/httpserver.cpp
@@ -841,7 +841,7 @@
     constexpr std::size_t bodyBytes = 8 * mebibyte;
     constexpr int idleReaders = 6;
     asio::io_context context;
-    const auto memory = std::make_shared<ResponseMemory>(20 * mebibyte);
+    const auto memory = std::make_shared<BodyMemory>(20 * mebibyte);
     std::vector<CloseReason> closed;
     HttpServer::Options options;
     options.address = {"127.0.0.1", freePort()};
--- a/tests/transport/peertransport.cpp
+++ b/tests/transport/peertransport.cpp
@@ -36,7 +36,7 @@
 {
 public:
     //! The memory is for the answers of the transport that dials.
-    explicit TransportPair(std::function<void(const PeerFrame &)> received, std::shared_ptr<ResponseMemory> responseMemory = nullptr)
+    explicit TransportPair(std::function<void(const PeerFrame &)> received, std::shared_ptr<BodyMemory> responseMemory = nullptr)
         : m_server(context, hooks(std::move(received), [](ConnectionId) {}))
         , m_client(context,
                    hooks([](const PeerFrame &) {}, [this](ConnectionId id) { m_client.send(id, HelloMessage()); }),
@@ -455,7 +455,7 @@
     hooks.received = [](ConnectionId /*id*/, const PeerFrame & /*frame*/) {};
     hooks.closed = [&isClosed](ConnectionId /*id*/) { isClosed = true; };
     hooks.frameRejected = [](ConnectionId /*id*/, std::error_code /*error*/) {};
-    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    const auto memory = std::make_shared<BodyMemory>(8 * mebibyte);
     PeerTransport transport(context, hooks, memory);
     const Endpoint address = freeAddress();
     cr_assert_not(transport.listen(address));
@@ -484,7 +484,7 @@
 Test(peertransport, answers_to_a_peer_that_reads_are_all_sent_whole)
 {
     constexpr int answers = 20;
-    const auto memory = std::make_shared<ResponseMemory>(8 * mebibyte);
+    const auto memory = std::make_shared<BodyMemory>(8 * mebibyte);
     int whole = 0;
     int received = 0;
     std::optional<ConnectionId> opened;
@@ -532,7 +532,7 @@
         {"in parts, after that", 2 * mebibyte - 1, ResultCode::Done},
     };
     asio::io_context context{1};
-    const auto memory = std::make_shared<ResponseMemory>(2 * mebibyte);
+    const auto memory = std::make_shared<BodyMemory>(2 * mebibyte);
     std::vector<ResponseMessage> received;
     std::optional<ConnectionId> inbound;
     bool isAcquainted = false;
