A request takes the memory that has arrived of it, and slow ones give way

Callers saw: every request with a body of some MiB refused with 503, while a few dozen clients announced bodies and did not send them, or not whole.

Cause: a body was reserved at its announced length when its header arrived. Seven requests that announce 7 MiB took all 48 MiB for the ten seconds that a body has, and the refused were always the newcomers.

Fix: the body is read in steps that update a share of BodyMemory. What has been arriving for longest is refused first, with 503, as nothing of it was passed on, and freed at once. A request that is being handled keeps its share.

--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <mutex>
 #include <optional>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 
@@ -31,6 +32,7 @@
 constexpr std::size_t maxPipelinedBytes = maxHeaderBytes;
 //! How long, and how much of its input, a client that has been sent its last response is read on.
 constexpr auto lingerTime = std::chrono::seconds(2);
+constexpr std::size_t maxReadBytes = 64 * kibibyte;
 constexpr std::size_t maxDiscardedBytes = 2 * mebibyte;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -54,6 +56,7 @@
         : limits(serverOptions.limits)
         , connectionLimit(serverOptions.maxConnections)
         , options(std::move(serverOptions))
+        , requestMemory(std::make_shared<BodyMemory>(options.maxTotalBodyBytes))
     {
     }
 
@@ -76,58 +79,20 @@
     std::unordered_map<ServedConnection, std::weak_ptr<Session>> sessions;
     ConnectionLimit connectionLimit;
     const HttpServer::Options options;
+    const std::shared_ptr<BodyMemory> requestMemory;
     HttpServer::Handler handler;
     std::atomic<std::size_t> connections{0};
-    std::atomic<std::int64_t> bodyBytes{0};
     std::atomic<bool> closeAfterResponses{false};
     std::atomic<bool> isClosing{false};
     std::atomic<std::chrono::steady_clock::time_point> lastRead{std::chrono::steady_clock::now()};
 };
 
-//! Share of the memory for bodies, released at the end of a request.
-class BodyReservation
-{
-public:
-    explicit BodyReservation(ServerState &state)
-        : m_state(state)
-    {
-    }
-    ~BodyReservation()
-    {
-        release();
-    }
-    BodyReservation(const BodyReservation &) = delete;
-    BodyReservation &operator=(const BodyReservation &) = delete;
-
-    bool reserve(std::size_t bytes)
-    {
-        const auto requested = static_cast<std::int64_t>(bytes);
-        const auto limit = static_cast<std::int64_t>(m_state.options.maxTotalBodyBytes);
-        if (m_state.bodyBytes.fetch_add(requested) + requested > limit) {
-            m_state.bodyBytes.fetch_sub(requested);
-            return false;
-        }
-        m_bytes += requested;
-        return true;
-    }
-    void release()
-    {
-        m_state.bodyBytes.fetch_sub(m_bytes);
-        m_bytes = 0;
-    }
-
-private:
-    ServerState &m_state;
-    std::int64_t m_bytes = 0;
-};
-
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<ServerState> state)
         : m_stream(std::move(socket))
         , m_state(std::move(state))
-        , m_reservation(*m_state)
     {
         const std::lock_guard lock(m_state->sessionsMutex);
         m_number = m_state->connectionLimit.add();
@@ -237,8 +202,13 @@
     template<typename Handler>
     auto unlessSuperseded(Handler handler)
     {
-        return [self = shared_from_this(), step = m_step, handler = std::move(handler)](beast::error_code error, auto... /*bytes*/) {
-            if (self->m_step == step) {
+        return [self = shared_from_this(), step = m_step, handler = std::move(handler)](beast::error_code error, auto... bytes) {
+            if (self->m_step != step) {
+                return;
+            }
+            if constexpr (std::is_invocable_v<Handler, beast::error_code, decltype(bytes)...>) {
+                handler(error, bytes...);
+            } else {
                 handler(error);
             }
         };
@@ -246,7 +216,7 @@
 
     void waitForRequest()
     {
-        m_reservation.release();
+        m_requestShare.reset();
         if (m_buffer.size() > 0) {
             readHeader();
             return;
@@ -313,27 +283,99 @@
     {
         m_lastRequestAt = std::chrono::steady_clock::now();
         const auto length = m_parser->content_length();
-        const std::size_t expected = length ? static_cast<std::size_t>(*length) : (m_parser->chunked() ? m_state->options.maxBodyBytes : 0);
-        if (expected > m_state->options.maxBodyBytes) {
+        if (length && *length > m_state->options.maxBodyBytes) {
             reject(ResultCode::BodyTooLarge, CloseReason::OverLimit);
             return;
         }
-        if (!m_reservation.reserve(expected)) {
-            reject(ResultCode::Shed, CloseReason::OverLimit);
-            return;
-        }
+        m_parser->eager(true);
         m_stream.expires_after(bodyTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser, unlessSuperseded([this](beast::error_code error) {
-                             error ? handleReadError(error) : checkRequest();
-                         }));
+        // Not called directly: a client that half-closes behind its request still gets a response that is ready at once.
+        asio::post(executor(), [read = unlessSuperseded([this](beast::error_code /*error*/) { continueBody(); })] { read({}); });
+    }
+
+    //! Parses what has been received, and receives more until the request is complete.
+    void continueBody()
+    {
+        beast::error_code error;
+        while (!error && !m_parser->is_done() && m_buffer.size() != 0) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        }
+        const std::size_t size = beast::read_size(m_buffer, maxReadBytes);
+        if (error && error != http::error::need_more) {
+            handleReadError(error);
+        } else if (!holdRequest(BodyMemory::Use::Receiving)) {
+            rejectForMemory();
+        } else if (m_parser->is_done()) {
+            checkRequest();
+        } else if (size == 0) {
+            handleReadError(http::error::buffer_overflow);
+        } else {
+            m_stream.async_read_some(m_buffer.prepare(size), unlessSuperseded([this](beast::error_code readError, std::size_t bytes) {
+                                         m_buffer.commit(bytes);
+                                         if (readError) {
+                                             handleReadError(readError == asio::error::eof ? http::error::partial_message : readError);
+                                         } else {
+                                             continueBody();
+                                         }
+                                     }));
+        }
+    }
+
+    //! Takes memory for what has been received of the request's body; returns whether there is enough.
+    bool holdRequest(BodyMemory::Use use)
+    {
+        const std::string &body = m_parser->get().body();
+        if (body.empty() && !m_requestShare) {
+            return true;
+        }
+        if (!m_requestShare) {
+            m_requestShare = m_state->requestMemory->hold(postToSession(&Session::rejectIfGivenUp));
+        }
+        // A body without a length grows in leaps, one with a length is reserved at once, although most of it may never arrive.
+        return m_requestShare->update(use, m_parser->chunked() ? body.capacity() : body.size());
+    }
+
+    //! The request may have become complete before this runs.
+    void rejectIfGivenUp()
+    {
+        if (m_phase == ConnectionPhase::Receiving && m_requestShare && m_requestShare->isGivenUp()) {
+            // The pending read must not write to the buffer any more.
+            m_stream.cancel();
+            rejectForMemory();
+        }
+    }
+
+    //! Frees what has been received, although the client may still be sending.
+    void rejectForMemory()
+    {
+        m_parser.emplace();
+        m_requestShare.reset();
+        reject(ResultCode::Shed, CloseReason::OverLimit);
+    }
+
+    //! Returns an action that runs another one on the connection's thread if the connection is still open.
+    std::function<void()> postToSession(void (Session::*action)())
+    {
+        return [self = weak_from_this(), executor = executor(), action] {
+            asio::post(executor, [self, action] {
+                if (const auto session = self.lock(); session) {
+                    (session.get()->*action)();
+                }
+            });
+        };
     }
 
     //! A TRACE request must not have content (RFC 9110, 9.3.8); it could not be passed on.
     void checkRequest()
     {
         const auto &message = m_parser->get();
-        const bool hasForbiddenContent = message.method() == http::verb::trace && !message.body().empty();
-        hasForbiddenContent ? reject(ResultCode::Malformed, CloseReason::Malformed) : handleRequest();
+        if (message.method() == http::verb::trace && !message.body().empty()) {
+            reject(ResultCode::Malformed, CloseReason::Malformed);
+        } else if (!holdRequest(BodyMemory::Use::Committed)) {
+            rejectForMemory();
+        } else {
+            handleRequest();
+        }
     }
 
     void handleReadError(beast::error_code error)
@@ -481,13 +523,7 @@
         if (!m_state->options.responseMemory || response.body.empty()) {
             return nullptr;
         }
-        auto share = m_state->options.responseMemory->hold([self = weak_from_this(), executor = executor()] {
-            asio::post(executor, [self] {
-                if (const auto session = self.lock(); session) {
-                    session->closeIfGivenUp();
-                }
-            });
-        });
+        auto share = m_state->options.responseMemory->hold(postToSession(&Session::closeIfGivenUp));
         if (!share->update(BodyMemory::Use::Sending, response.body.capacity())) {
             response = lastResponse(ResultCode::AnswerTooLarge);
             return nullptr;
@@ -508,7 +544,7 @@
     void closeGracefully()
     {
         enter(ConnectionPhase::Closing);
-        m_reservation.release();
+        m_requestShare.reset();
         beast::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_stream.expires_never();
@@ -564,7 +600,8 @@
     beast::tcp_stream m_stream;
     asio::steady_timer m_idleTimer{m_stream.get_executor()};
     std::shared_ptr<ServerState> m_state;
-    BodyReservation m_reservation;
+    //! The memory of the request; its body may be passed on, but is not freed before the response.
+    std::unique_ptr<BodyMemory::Share> m_requestShare;
     beast::flat_buffer m_buffer{maxReadAheadBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_response;
--- a/standins/crowdenvironment.cpp
+++ b/standins/crowdenvironment.cpp
@@ -156,7 +156,7 @@
     HttpRequest request;
     request.method = "POST";
     request.target = "/pay/1";
-    request.body = "payment";
+    request.body = std::string(m_options.callerBodyBytes, 'p');
     request.headers.add("Host", host);
     request.headers.add("Request-Id", id);
     request.headers.add("Connection", "close");
--- a/standins/crowdenvironment.h
+++ b/standins/crowdenvironment.h
@@ -27,6 +27,8 @@
     std::size_t crowdedNodes = 2;
     //! Path of the crowd's requests.
     std::string target = "/bytes/7864320";
+    //! Size of the bodies of ordinary requests.
+    std::size_t callerBodyBytes = 100;
     Duration length = std::chrono::seconds(8);
 };
 
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -190,6 +190,7 @@
     crowdCommand->add_option("--crowded", crowd.crowdedNodes, "Number of nodes with a crowd");
     crowdCommand->add_option("--door", crowd.doorOffset, "Offset of the port that the crowd connects to");
     crowdCommand->add_option("--target", crowd.target, "Path of the crowd's requests");
+    crowdCommand->add_option("--caller-body", crowd.callerBodyBytes, "Size of the bodies of ordinary requests");
     crowdCommand->add_option("--seconds", crowdSeconds, "How long the crowd stays");
 
     CLI11_PARSE(app, argc, argv);
--- a/standins/plainbackend.cpp
+++ b/standins/plainbackend.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t maximumBodyBytes = 1 * mebibyte;
+constexpr std::size_t maximumBodyBytes = 8 * mebibyte;
 constexpr Duration callTimeout = std::chrono::seconds(2);
 const std::string longPathPrefix = "/long/";
 const std::string bytesPathPrefix = "/bytes/";
