--- a/src/chervilpaddle/transport/httpserver.cpp
+++ b/src/chervilpaddle/transport/httpserver.cpp
@@ -42,6 +42,24 @@
     return !isInterim && status != http::status::no_content && status != http::status::not_modified;
 }
 
+//! Returns the activity that begins with a phase, or nothing if the one before goes on: a request that has begun to arrive serves nobody
+//! yet.
+std::optional<ConnectionLimit::Activity> activityIn(ConnectionPhase phase)
+{
+    switch (phase) {
+    case ConnectionPhase::Receiving:
+        return std::nullopt;
+    case ConnectionPhase::Idle:
+    case ConnectionPhase::Responding:
+        return ConnectionLimit::Activity::Waiting;
+    case ConnectionPhase::Handling:
+        return ConnectionLimit::Activity::Handling;
+    case ConnectionPhase::Closing:
+        break;
+    }
+    return ConnectionLimit::Activity::Closing;
+}
+
 class Session;
 
 TimePoint currentTime()
@@ -186,19 +204,14 @@
     {
         m_phase = phase;
         ++m_step;
-        if (phase == ConnectionPhase::Receiving || !m_isListed) {
-            return; // A request that has begun to arrive serves nobody yet.
+        if (const auto activity = activityIn(phase); activity && m_isListed) {
+            const std::lock_guard lock(m_state->sessionsMutex);
+            m_state->connectionLimit.setActivity(m_number, *activity);
         }
-        const bool isWaiting = phase == ConnectionPhase::Idle || phase == ConnectionPhase::Responding;
-        const auto activity = phase == ConnectionPhase::Handling ? ConnectionLimit::Activity::Handling
-            : isWaiting                                          ? ConnectionLimit::Activity::Waiting
-                                                                 : ConnectionLimit::Activity::Closing;
-        const std::lock_guard lock(m_state->sessionsMutex);
-        m_state->connectionLimit.setActivity(m_number, activity);
     }
 
     //! Wraps the handler of an operation that belongs to the current phase. A handler that is already queued cannot be cancelled, so
-    //! it does nothing if the connection has entered another phase by the time it runs.
+    //! it does nothing if the connection has entered another phase by the time it runs. It may take the number of bytes as well.
     template<typename Handler>
     auto unlessSuperseded(Handler handler)
     {
@@ -310,7 +323,7 @@
         } else if (size == 0) {
             handleReadError(http::error::buffer_overflow);
         } else {
-            m_stream.async_read_some(m_buffer.prepare(size), unlessSuperseded([this](beast::error_code readError, std::size_t bytes) {
+            m_stream.async_read_some(m_buffer.prepare(size), unlessSuperseded([this](beast::error_code readError, std::size_t bytes = 0) {
                                          m_buffer.commit(bytes);
                                          if (readError) {
                                              handleReadError(readError == asio::error::eof ? http::error::partial_message : readError);
--- a/src/chervilpaddle/transport/peertransport.cpp
+++ b/src/chervilpaddle/transport/peertransport.cpp
@@ -408,7 +408,7 @@
 
     BodyAssembler &assemblerOf(ConnectionId id)
     {
-        const auto post = [this](std::function<void()> action) { boost::asio::post(m_context, std::move(action)); };
+        const auto post = [&context = m_context](std::function<void()> action) { boost::asio::post(context, std::move(action)); };
         return m_assemblers.try_emplace(id, m_responseMemory, post).first->second;
     }
 
--- a/standins/crowdenvironment.cpp
+++ b/standins/crowdenvironment.cpp
@@ -177,7 +177,7 @@
     });
 }
 
-void CrowdEnvironment::sendUntilServed(std::function<void()> answered)
+void CrowdEnvironment::sendUntilServed(const std::function<void()> &answered)
 {
     const auto pending = std::make_shared<std::size_t>(m_callers.size());
     for (const auto &caller : m_callers) {
--- a/standins/crowdenvironment.h
+++ b/standins/crowdenvironment.h
@@ -52,7 +52,7 @@
     void publish();
     //! Sends a request of each caller; `answered` is called when all have been served and all nodes are ready, and requests that fail
     //! are sent again.
-    void sendUntilServed(std::function<void()> answered);
+    void sendUntilServed(const std::function<void()> &answered);
     void probe(Caller &caller, std::function<void(bool isReady)> ended);
     void send(Caller &caller, std::function<void(bool isServed)> ended);
     void sendUntilServed(Caller &caller, std::function<void()> answered);
