Docs and comments: the budget does not cover heads, and no more is promised

Comments and pages only. ResourceBudget said that its parts always stay below the machine's memory; heads that are arriving are not among them, and the bound of request bodies is one for each server.

--- a/src/chervilpaddle/controllers/resourcebudget.h
+++ b/src/chervilpaddle/controllers/resourcebudget.h
@@ -13,13 +13,13 @@
     std::size_t descriptors = 4100;
 };
 
-//! How a node divides its machine's resources among what clients and peers make it hold. The parts together stay below the
-//! machine's resources, whatever each of them is used for; docs/OPERATIONS.md lists them.
+//! How a node divides its machine's resources among what clients and peers make it hold. Heads of requests that are arriving are not
+//! part of it; docs/OPERATIONS.md lists what is.
 struct ResourceBudget
 {
-    //! Requests of clients, from their first byte until their response.
+    //! Bodies of requests, from their first byte until the response; for each of the servers.
     std::size_t requestBytes = 0;
-    //! Responses of backend servers, from their first byte until they have been sent.
+    //! Bodies of responses of backend servers, from their first byte until they have been sent.
     std::size_t responseBytes = 0;
     //! Connections of callers and of the backend server beside the node.
     std::size_t callerConnections = 0;
