A request to the store that times out is told from one that the store refuses

Change: a request that was sent on an open connection and got no complete response in time has a status of its own. Each one is logged ("platform did not answer in time") and counted (chervilpaddle_store_timeouts_total). Behaviour does not change.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -131,7 +131,7 @@
 void PrefixMirror::handlePage(const StorePage &page)
 {
     if (page.status != StoreStatus::Success) {
-        handleFailure([this] { start(); });
+        handleFailure(page.status, [this] { start(); });
         return;
     }
     const StoreEra heldEra = m_snapshotPosition ? m_snapshotPosition->era : m_synced.era;
@@ -281,8 +281,8 @@
         readAgain();
         return;
     }
-    if (changes.status == StoreStatus::Failed) {
-        handleFailure([this] { watch(); });
+    if (changes.status != StoreStatus::Success) {
+        handleFailure(changes.status, [this] { watch(); });
         return;
     }
     const StoreEra era = changes.era.value_or(m_watchedFrom.era);
@@ -368,8 +368,11 @@
     m_hooks.schedule(randomDuration(m_random, delay, 2 * delay), std::move(action));
 }
 
-void PrefixMirror::handleFailure(std::function<void()> retry)
+void PrefixMirror::handleFailure(StoreStatus status, std::function<void()> retry)
 {
+    if (status == StoreStatus::TimedOut && m_hooks.requestTimedOut) {
+        m_hooks.requestTimedOut();
+    }
     if (m_answeringSince || m_failures == 0) {
         m_answeringSince.reset();
         m_hooks.availabilityChanged(false);
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -51,6 +51,8 @@
         std::function<void()> changed;
         //! Called when the store becomes available or unavailable.
         std::function<void(bool isAvailable)> availabilityChanged;
+        //! Called when no response has arrived in time on an open connection. May be empty.
+        std::function<void()> requestTimedOut = nullptr;
     };
 
     PrefixMirror(std::string prefix, Hooks hooks, std::uint64_t seed);
@@ -88,7 +90,7 @@
     void watch();
     Duration watchDuration();
     void handleChanges(const StoreChanges &changes);
-    void handleFailure(std::function<void()> retry);
+    void handleFailure(StoreStatus status, std::function<void()> retry);
     void readAgain();
     void pauseBefore(std::function<void()> action);
     void markAvailable();
--- a/src/chervilpaddle/controllers/storemessages.h
+++ b/src/chervilpaddle/controllers/storemessages.h
@@ -37,7 +37,8 @@
 enum class StoreStatus {
     Success,
     Compacted, //!< The requested changes are no longer available: all items must be read again.
-    Failed,
+    Failed, //!< The store refused the request or could not be reached.
+    TimedOut, //!< A connection was open, but no complete response arrived on it in time.
 };
 
 //! One page of the items under a prefix, ordered by key.
--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -46,6 +46,9 @@
         hooks.eraChanged = [this, what](const StoreEraChange &change) { m_hooks.eraChanged(what, change); };
     }
     hooks.availabilityChanged = [this, what](bool isAvailable) { m_hooks.availabilityChanged(what, isAvailable); };
+    if (m_hooks.requestTimedOut) {
+        hooks.requestTimedOut = [this, what] { m_hooks.requestTimedOut(what); };
+    }
     replica.mirror = std::make_unique<PrefixMirror>(prefix, std::move(hooks), m_random());
 }
 
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -47,6 +47,8 @@
         std::function<void(const char *what, const StoreEraChange &)> eraChanged = nullptr;
         //! Called when this node's own access to the store is gained or lost. `what` names the items.
         std::function<void(const char *what, bool isAvailable)> availabilityChanged;
+        //! Called when the store has not responded in time on an open connection. `what` names the items. May be empty.
+        std::function<void(const char *what)> requestTimedOut = nullptr;
         //! A document of a peer cannot be read.
         std::function<void(const InstanceId &)> documentRejected;
     };
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -171,6 +171,7 @@
             m_log.warn({"platform unreachable", ResultCode::PlatformUnreachable, {}, what});
         }
     };
+    hooks.requestTimedOut = [this](const char *what) { storeRequestTimedOut(what); };
     hooks.documentRejected = [this](const InstanceId &instance) {
         m_log.warn({"document of a peer ignored: it cannot be read", ResultCode::FrameMalformed, {}, instance.value()});
     };
@@ -514,6 +515,12 @@
                     + " missing"});
 }
 
+void MeshCore::storeRequestTimedOut(const char *what)
+{
+    ++m_counters.storeTimeouts;
+    m_log.warn({"platform did not answer in time", ResultCode::PlatformUnreachable, {}, what});
+}
+
 void MeshCore::configurationChanged()
 {
     for (const auto &[key, item] : m_replication->configuration().items()) {
--- a/src/chervilpaddle/mesh/meshcore.h
+++ b/src/chervilpaddle/mesh/meshcore.h
@@ -34,6 +34,8 @@
     std::uint64_t invalidInstanceEntries = 0;
     //! Newer eras of the store that were taken over, counted for the configuration and for the instance list.
     std::uint64_t storeEraChanges = 0;
+    //! Requests to the store that were not answered in time on an open connection.
+    std::uint64_t storeTimeouts = 0;
     //! Ended connections of callers by CloseReason, and those of them that left a request without a complete response.
     std::array<std::uint64_t, closeReasonCount> closedConnections{};
     std::array<std::uint64_t, closeReasonCount> unansweredRequests{};
@@ -139,6 +141,7 @@
     void submit(CallMessage call, Duration queueingDelay, Executor::Reply reply);
 
     void storeEraChanged(const char *what, const StoreEraChange &change);
+    void storeRequestTimedOut(const char *what);
     void configurationChanged();
     void instancesChanged();
     void removeUnknownServices(std::vector<InstanceDirectory::Entry> &entries) const;
--- a/src/chervilpaddle/node/nodemetrics.cpp
+++ b/src/chervilpaddle/node/nodemetrics.cpp
@@ -52,6 +52,7 @@
               "Era of the store to which the instance list belongs",
               static_cast<double>(core.replication().instances().lastChange().era.value()));
         counter("chervilpaddle_store_era_changes_total", "Newer eras of the store that were taken over", counters.storeEraChanges);
+        counter("chervilpaddle_store_timeouts_total", "Requests to the store without a response in time", counters.storeTimeouts);
         scrapeReplication(core.replication());
         std::vector<prometheus::MetricFamily> latencies = {requestLatencies(counters)};
         return scrapeCommon(core, std::move(latencies));
