A silent connection to the store is noticed in time by every reader

Cause: a reader noticed a silent watch when that timed out, 3.5 to 7.5 s after it began (a wait of 2 to 6 s and a margin of 1.5 s), after the pause before it; all readers of a fleet could be late together. The users' bound is that each node knows three seconds after the silence what was written up to one second after it. The retry could wait on a second connection of the pool that was silent too, as could the first page of a read of all items (2 s) and the first watch of a node that takes over, whose connection may have been idle for up to 60 s.

Ruled out: slow delivery between nodes (the last late request came when the first reader had noticed, and nodes were up to date 0.1 to 0.3 s later).

Change: from one response of the store to the end of the next watch, pause included, 1.4 to 1.6 s pass at most, and the margin is 0.6 s. After a time-out no connection that was idle is used again; a read of all items begins on a new one; one that was idle for 2 s is not used.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -13,10 +13,11 @@
 constexpr int maxBackoffDoublings = 2;
 //! The pause before the items are read again doubles up to 0.8 to 1.6 s, within the time in which a change must be known.
 constexpr int maxRereadDoublings = 3;
-//! How long the store holds a watch without changes. This bounds the time until a silent connection is detected. The duration is
-//! random, so that if all connections become silent at once some node detects it early and informs its peers.
-constexpr Duration minWatchDuration = std::chrono::seconds(2);
-constexpr Duration maxWatchDuration = std::chrono::seconds(6);
+//! Longest time from a response of the store to the end of the next watch, so that a pause before the watch shortens it. Together with
+//! storeWatchMargin this bounds the time until a silent connection is detected. It is random, so that the readers do not all call the
+//! store at once.
+constexpr Duration minResponseInterval = std::chrono::milliseconds(1400);
+constexpr Duration maxResponseInterval = std::chrono::milliseconds(1600);
 //! A watch tells that the store is available only when it ends, so it is short while that is not known.
 constexpr Duration probingWatchDuration = std::chrono::milliseconds(100);
 //! Pause after a watch that has returned changes. In a series of changes, one call to the store then returns several of them. The
@@ -271,7 +272,8 @@
     if (!m_answeringSince) {
         return probingWatchDuration;
     }
-    return randomDuration(m_random, minWatchDuration, maxWatchDuration);
+    const Duration interval = randomDuration(m_random, minResponseInterval, maxResponseInterval);
+    return std::max(probingWatchDuration, interval - (m_hooks.clock() - m_lastResponseAt));
 }
 
 void PrefixMirror::handleChanges(const StoreChanges &changes)
@@ -389,8 +391,9 @@
 void PrefixMirror::markAvailable()
 {
     m_failures = 0;
+    m_lastResponseAt = m_hooks.clock();
     if (!m_answeringSince) {
-        m_answeringSince = m_hooks.clock();
+        m_answeringSince = m_lastResponseAt;
         m_hooks.availabilityChanged(true);
     }
 }
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -128,6 +128,7 @@
     //! Responses that could not be used, since the last watch that was successful.
     int m_unusableResponses = 0;
     std::optional<TimePoint> m_answeringSince;
+    TimePoint m_lastResponseAt;
     //! When the items became those of a newer era.
     std::optional<TimePoint> m_restoredAt;
 };
--- a/src/chervilpaddle/controllers/storemessages.h
+++ b/src/chervilpaddle/controllers/storemessages.h
@@ -62,13 +62,21 @@
     std::optional<StoreEra> era = std::nullopt;
 };
 
-//! Interface to a store that supports range reads and watches. Each callback is called exactly once.
+//! Reads take milliseconds, but the store may be 50 times slower under faults.
+constexpr Duration storeReadTimeout = std::chrono::seconds(2);
+//! The response to a watch may arrive this much later than the requested wait, because the store may be slow.
+constexpr Duration storeWatchMargin = std::chrono::milliseconds(600);
+//! Connections to the store that were idle for longer are not reused, as they may have become silent. Readers pause for less.
+constexpr Duration maxStoreIdleTime = std::chrono::seconds(2);
+
+//! Interface to a store that supports range reads and watches. Each callback is called exactly once. A request ends with
+//! StoreStatus::TimedOut after the times above; connections that were idle by then are not used again.
 struct StoreReader
 {
-    //! Reads items under the prefix whose keys are greater than `afterKey`.
+    //! Reads items under the prefix whose keys are greater than `afterKey`. The first page is read over a new connection.
     std::function<void(const std::string &prefix, const std::string &afterKey, std::function<void(const StorePage &)>)> range;
-    //! Waits for up to `timeout` for changes under the prefix that are newer than the revision `after`.
-    std::function<void(const std::string &prefix, Revision after, Duration timeout, std::function<void(const StoreChanges &)>)> watch;
+    //! Waits for up to `wait` for changes under the prefix that are newer than the revision `after`.
+    std::function<void(const std::string &prefix, Revision after, Duration wait, std::function<void(const StoreChanges &)>)> watch;
 };
 
 } // namespace chervilpaddle
--- a/src/chervilpaddle/mesh/meshcore.cpp
+++ b/src/chervilpaddle/mesh/meshcore.cpp
@@ -47,6 +47,7 @@
     HttpClient::Options options;
     options.address = address;
     options.maxBodyBytes = maxStoreResponseBytes;
+    options.maxIdleTime = maxStoreIdleTime;
     return options;
 }
 
--- a/src/chervilpaddle/transport/httpclient.cpp
+++ b/src/chervilpaddle/transport/httpclient.cpp
@@ -494,6 +494,11 @@
         }
     }
 
+    void closeIdleConnections()
+    {
+        m_idle.clear();
+    }
+
 private:
     std::shared_ptr<Connection> takeIdleConnection(const HttpRequest &request)
     {
@@ -557,4 +562,9 @@
     m_impl->cancel(number);
 }
 
+void HttpClient::closeIdleConnections()
+{
+    m_impl->closeIdleConnections();
+}
+
 } // namespace chervilpaddle
--- a/src/chervilpaddle/transport/httpclient.h
+++ b/src/chervilpaddle/transport/httpclient.h
@@ -76,6 +76,8 @@
     HttpRequestNumber send(HttpRequest request, Duration timeout, Callback callback);
     //! Cancels a request by closing its connection; its callback receives the result so far. Ignored for finished requests.
     void cancel(HttpRequestNumber number);
+    //! Closes the connections that carry no request, so that the next request opens a new one.
+    void closeIdleConnections();
 
 private:
     class Impl;
--- a/tests/platform/storecalls.cpp
+++ b/tests/platform/storecalls.cpp
@@ -16,6 +16,16 @@
     return {"HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
 }
 
+Script emptyChanges()
+{
+    return response(200, R"({"events":[],"store_revision":9})");
+}
+
+Script emptyPage()
+{
+    return response(200, R"({"items":[],"store_revision":9})");
+}
+
 //! Reads a store that responds to as many requests as there are scripts, and is silent afterwards.
 struct ScriptedStore
 {
@@ -39,6 +49,19 @@
         return *status;
     }
 
+    StoreStatus read()
+    {
+        std::optional<StoreStatus> status;
+        reader.range("servers/", {}, [&](const StorePage &page) {
+            status = page.status;
+            context.stop();
+        });
+        context.restart();
+        context.run_for(10s);
+        cr_assert(status.has_value());
+        return *status;
+    }
+
     boost::asio::io_context context;
     ScriptedServer server;
     HttpClient client;
@@ -55,3 +78,30 @@
     cr_expect_eq(store.watch(), StoreStatus::Failed, "the connection is closed without a response");
     cr_expect_eq(store.watch(), StoreStatus::TimedOut);
 }
+
+//! Guards against a retry that goes out on another connection which has become silent at the same time.
+Test(storecalls, after_a_time_out_no_connection_that_was_idle_is_used_again)
+{
+    ScriptedStore store({emptyChanges(), emptyChanges()});
+    int ended = 0;
+    for (int i = 0; i < 2; ++i) {
+        store.reader.watch("servers/", Revision(1), 10ms, [&](const StoreChanges & /*changes*/) { ++ended; });
+    }
+    while (ended < 2) {
+        store.context.run_one_for(10s);
+    }
+    cr_assert_eq(store.server.connections(), 2);
+    cr_expect_eq(store.watch(), StoreStatus::TimedOut, "it takes one of the idle connections");
+    cr_expect_eq(store.server.connections(), 2);
+    cr_expect_eq(store.watch(), StoreStatus::TimedOut);
+    cr_expect_eq(store.server.connections(), 3);
+}
+
+//! Guards against a read of all items that waits on a connection which has become silent in the pause before it.
+Test(storecalls, a_read_of_all_items_begins_on_a_new_connection)
+{
+    ScriptedStore store({emptyChanges(), emptyPage()});
+    cr_expect_eq(store.watch(), StoreStatus::Success);
+    cr_expect_eq(store.read(), StoreStatus::Success);
+    cr_expect_eq(store.server.connections(), 2);
+}
