A silent connection to the store is no outage of the store

Callers saw: a backend server whose entry was removed without a report, after the connections to the store had become silent, went on getting requests, later than one that had reported `draining`.

Cause: a watch that timed out made the store unavailable, as if it had been down. An entry that is missing shortly after an outage is retained for up to 1.5 s, as its server may register again (InstanceDirectory). The readers reported no access besides, and all nodes read the store in their place for 5 s.

Change: when a request times out while the store is available, it is repeated at once. The repetition uses a new connection, as those that were idle are not used again. The store is unavailable if that fails too, and further retries are paced as before.

Ruled out: retaining for a shorter time, which would lose entries after real outages.

--- a/src/chervilpaddle/controllers/prefixmirror.cpp
+++ b/src/chervilpaddle/controllers/prefixmirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace chervilpaddle {
 
@@ -261,6 +262,7 @@
 {
     if (!m_isReading) {
         m_isBusy = false;
+        m_isRepeatingTimedOut = false;
         return;
     }
     m_watchedFrom = m_synced;
@@ -269,7 +271,7 @@
 
 Duration PrefixMirror::watchDuration()
 {
-    if (!m_answeringSince) {
+    if (!m_answeringSince || m_isRepeatingTimedOut) {
         return probingWatchDuration;
     }
     const Duration interval = randomDuration(m_random, minResponseInterval, maxResponseInterval);
@@ -375,6 +377,13 @@
     if (status == StoreStatus::TimedOut && m_hooks.requestTimedOut) {
         m_hooks.requestTimedOut();
     }
+    const bool isRepeated = std::exchange(m_isRepeatingTimedOut, false);
+    if (status == StoreStatus::TimedOut && m_answeringSince && !isRepeated) {
+        // The connection may have become silent. Whether the store is available is known after a request on a new one.
+        m_isRepeatingTimedOut = true;
+        retry();
+        return;
+    }
     if (m_answeringSince || m_failures == 0) {
         m_answeringSince.reset();
         m_hooks.availabilityChanged(false);
@@ -391,6 +400,7 @@
 void PrefixMirror::markAvailable()
 {
     m_failures = 0;
+    m_isRepeatingTimedOut = false;
     m_lastResponseAt = m_hooks.clock();
     if (!m_answeringSince) {
         m_answeringSince = m_lastResponseAt;
--- a/src/chervilpaddle/controllers/prefixmirror.h
+++ b/src/chervilpaddle/controllers/prefixmirror.h
@@ -125,6 +125,8 @@
     //! Whether a request to the store or its retry is pending.
     bool m_isBusy = false;
     int m_failures = 0;
+    //! Whether the request that is out repeats one that timed out while the store was available.
+    bool m_isRepeatingTimedOut = false;
     //! Responses that could not be used, since the last watch that was successful.
     int m_unusableResponses = 0;
     std::optional<TimePoint> m_answeringSince;
--- a/tests/controllers/prefixmirror.cpp
+++ b/tests/controllers/prefixmirror.cpp
@@ -31,6 +31,7 @@
     int changes = 0;
     std::vector<StoreEraChange> eraChanges;
     std::vector<bool> availability;
+    int timeouts = 0;
     //! The era that the store reports; not set if it reports none.
     std::optional<StoreEra> era;
     PrefixMirror mirror;
@@ -61,6 +62,7 @@
             return previous.value.substr(0, previous.value.find('-')) == next.value.substr(0, next.value.find('-'));
         };
         hooks.availabilityChanged = [this](bool isAvailable) { availability.push_back(isAvailable); };
+        hooks.requestTimedOut = [this] { ++timeouts; };
         return hooks;
     }
 
@@ -342,6 +344,42 @@
     cr_assert_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
 }
 
+//! Guards against entries that were removed and are retained, and nodes that take over from readers, as if the store had been down.
+Test(prefixmirror, a_connection_that_becomes_silent_is_no_outage_of_the_store)
+{
+    FakeStore store;
+    store.mirror.start();
+    store.page({item("p/a", "ready-1", 3)}, 10);
+    const auto availableSince = store.mirror.availableSince();
+    for (int i = 0; i < 3; ++i) {
+        store.now += std::chrono::seconds(2);
+        store.failWatch(StoreStatus::TimedOut);
+        cr_assert_eq(store.watches.size(), 1, "it is tried again without a pause");
+        cr_expect_leq(store.watches.front().timeout, std::chrono::milliseconds(100));
+        store.events({}, 10);
+        cr_expect_geq(store.watches.front().timeout, std::chrono::seconds(1));
+    }
+    cr_expect(store.mirror.availableSince() == availableSince);
+    cr_expect_eq(store.availability.size(), 1);
+    cr_expect_eq(store.timeouts, 3);
+}
+
+Test(prefixmirror, a_store_that_does_not_respond_on_a_new_connection_either_is_unavailable)
+{
+    for (const StoreStatus second : {StoreStatus::TimedOut, StoreStatus::Failed}) {
+        FakeStore store;
+        store.mirror.start();
+        store.page({}, 10);
+        store.failWatch(StoreStatus::TimedOut);
+        store.failWatch(second);
+        cr_expect_not(store.mirror.availableSince());
+        cr_expect(store.watches.empty(), "further retries are paced");
+        store.runScheduled();
+        store.failWatch(StoreStatus::TimedOut);
+        cr_expect(store.watches.empty());
+    }
+}
+
 Test(prefixmirror, items_at_lower_revisions_are_taken_after_a_restoration)
 {
     FakeStore store;
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -1,5 +1,6 @@
 #include "virtualtime.h"
 
+#include <chervilpaddle/controllers/instancedirectory.h>
 #include <chervilpaddle/controllers/storereplication.h>
 
 #include <algorithm>
@@ -44,15 +45,14 @@
         const StoreItem item{key, value, Revision(++m_revision)};
         m_items[key] = item;
         m_history.push_back({item, false});
-        std::vector<Watch> waiting;
-        for (const Watch &watch : std::exchange(m_watches, {})) {
-            if (key.rfind(watch.prefix, 0) == 0) {
-                answerWatch(watch);
-            } else {
-                waiting.push_back(watch);
-            }
-        }
-        m_watches = std::move(waiting);
+        answerWatches(key);
+    }
+
+    void removeItem(const std::string &key)
+    {
+        m_items.erase(key);
+        m_history.push_back({{key, {}, Revision(++m_revision)}, true});
+        answerWatches(key);
     }
 
     //! Keeps a copy of the store.
@@ -355,6 +355,19 @@
         };
     }
 
+    void answerWatches(const std::string &key)
+    {
+        std::vector<Watch> waiting;
+        for (const Watch &watch : std::exchange(m_watches, {})) {
+            if (key.rfind(watch.prefix, 0) == 0) {
+                answerWatch(watch);
+            } else {
+                waiting.push_back(watch);
+            }
+        }
+        m_watches = std::move(waiting);
+    }
+
     void endWatch(std::uint64_t number)
     {
         for (auto watch = m_watches.begin(); watch != m_watches.end(); ++watch) {
@@ -904,3 +917,32 @@
         cr_expect_eq(fleet.holders("c/changed", value), size, "gap %d: %d nodes", round, fleet.holders("c/changed", value));
     }
 }
+
+//! Guards against calls to a backend server whose entry was removed after a silence, which was taken for an outage that removes entries.
+Test(storereplication, an_entry_that_is_removed_after_a_silence_is_not_retained)
+{
+    constexpr int size = 12;
+    InstanceDirectory::Entry entry;
+    entry.instance.instance = InstanceId("n1");
+    entry.instance.backend = BackendId("leaving");
+    ReplicatedFleet fleet(size);
+    for (Duration phase = 0ms; phase < 2500ms; phase += 100ms) {
+        fleet.write("i/leaving", "ready-0");
+        writeHeartbeats(fleet, 8, 9s + phase);
+        fleet.time.runFor(6s + phase);
+        fleet.silenceStoreConnections();
+        fleet.time.runFor(1s);
+        fleet.removeItem("i/leaving");
+        for (Duration since = 1s; since < recoveryBound; since += 100ms) {
+            fleet.time.runFor(100ms);
+            cr_expect_eq(fleet.substitutes(), 0, "no node takes over");
+        }
+        for (const auto &[id, node] : fleet.nodes) {
+            cr_assert_eq(node->instances().items().count("i/leaving"), 0);
+            InstanceDirectory directory;
+            directory.update({entry}, fleet.time.now() - 1h, fleet.time.now());
+            directory.update({}, node->instances().availableSince(), fleet.time.now());
+            cr_expect(directory.instances().empty(), "%s retains the entry", id.value().c_str());
+        }
+    }
+}
