The node beside a removed backend server is told of the removal

Cause: a reader sends a change to the nodes that its list names. The list that results from the removal does not name the node beside the removed backend server, which therefore noticed only that the reports had ended, 1.2 to 1.5 s later, and read the store itself.

Ruled out: a lost document (that node's log has the change with the first read of its own, 1.46 s after the removal); a shorter life of reports, which would make nodes take over from readers that are only slow.

Change: receivers that a new list no longer names are sent the change that removed them, once.

--- a/src/chervilpaddle/controllers/storereplication.cpp
+++ b/src/chervilpaddle/controllers/storereplication.cpp
@@ -1,6 +1,8 @@
 #include <chervilpaddle/controllers/storereplication.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace chervilpaddle {
@@ -63,7 +65,15 @@
 
 void StoreReplication::setInstances(const InstanceList &list)
 {
+    const std::vector<InstanceId> previous = m_role.receivers();
     m_role.setInstances(list, m_hooks.clock());
+    std::set<InstanceId> listed;
+    for (const PublishedInstance &instance : list.instances) {
+        listed.insert(instance.instance);
+    }
+    std::copy_if(previous.begin(), previous.end(), std::back_inserter(m_unlistedReceivers), [&listed](const InstanceId &receiver) {
+        return listed.count(receiver) == 0;
+    });
     updateReading();
 }
 
@@ -108,24 +118,36 @@
     // At the start every node reads the items itself.
     const StorePosition reached = replica.passedOn ? std::min(mirror.lastChange(), mirror.synced()) : mirror.synced();
     const auto since = std::exchange(replica.passedOn, reached);
-    if (!since || m_role.receivers().empty() || !(*since < mirror.lastChange())) {
+    const std::vector<InstanceId> receivers = takeReceivers(replica);
+    if (!since || receivers.empty() || !(*since < mirror.lastChange())) {
         return;
     }
     if (m_role.isSubstitute() && since->era != mirror.lastChange().era) {
         // Peers need all items after a restoration. A reader that lacks them asks one of the many substitutes.
-        for (const InstanceId &reader : m_role.receivers()) {
+        for (const InstanceId &reader : receivers) {
             m_hooks.sendStatus(reader);
         }
         return;
     }
     const std::string document = mirror.changesSince(*since);
-    for (const InstanceId &receiver : m_role.receivers()) {
+    for (const InstanceId &receiver : receivers) {
         ++m_counters.documentsSent;
         m_counters.documentBytesSent += document.size();
         m_hooks.send(receiver, replica.message(document));
     }
 }
 
+//! The node beside a removed backend server may still send calls to it, so it is told of the removal once.
+std::vector<InstanceId> StoreReplication::takeReceivers(const Replica &replica)
+{
+    std::vector<InstanceId> receivers = m_role.receivers();
+    if (&replica == &m_instances) {
+        receivers.insert(receivers.end(), m_unlistedReceivers.begin(), m_unlistedReceivers.end());
+        m_unlistedReceivers.clear();
+    }
+    return receivers;
+}
+
 void StoreReplication::received(const PeerEvent &event)
 {
     if (const auto *status = std::get_if<StatusMessage>(&event.message); status != nullptr) {
--- a/src/chervilpaddle/controllers/storereplication.h
+++ b/src/chervilpaddle/controllers/storereplication.h
@@ -96,6 +96,7 @@
     void updateReading();
     void schedulePassingOn(Replica &replica);
     void passOn(Replica &replica);
+    std::vector<InstanceId> takeReceivers(const Replica &replica);
     void handleStatus(const PeerEvent &event, const StatusMessage &status);
     void handleDocument(Replica &replica, const PeerEvent &event, const std::string &document);
     void requestIfBehind(Replica &replica, ConnectionId connection, const StorePosition &peerLastChange);
@@ -107,6 +108,8 @@
     ReaderRole m_role;
     Replica m_configuration;
     Replica m_instances;
+    //! Receivers that are no longer listed and have not been sent the change that removed them.
+    std::vector<InstanceId> m_unlistedReceivers;
     ReplicationCounters m_counters;
     TimePoint m_reportedAt;
 };
--- a/tests/controllers/storereplication.cpp
+++ b/tests/controllers/storereplication.cpp
@@ -101,11 +101,7 @@
     //! Removes nodes, of which all others learn at once.
     void remove(const std::vector<InstanceId> &ids)
     {
-        const auto isRemoved = [&ids](const PublishedInstance &instance) {
-            return std::find(ids.begin(), ids.end(), instance.instance) != ids.end();
-        };
-        InstanceList list = m_list;
-        list.instances.erase(std::remove_if(list.instances.begin(), list.instances.end(), isRemoved), list.instances.end());
+        const InstanceList list = listWithout(ids);
         stopped.insert(ids.begin(), ids.end());
         for (const auto &[id, node] : nodes) {
             if (stopped.count(id) == 0) {
@@ -114,6 +110,24 @@
         }
     }
 
+    static std::string itemOf(const InstanceId &id)
+    {
+        return "i/" + id.value();
+    }
+
+    //! Writes the entry of an instance, to remove it later. Its node goes on.
+    void publish(const InstanceId &id)
+    {
+        write(itemOf(id), "ready-0");
+    }
+
+    //! Removes the entry of an instance. Nodes that learn of it no longer list the instance.
+    void withdraw(const InstanceId &id)
+    {
+        m_removedInstance = id;
+        removeItem(itemOf(id));
+    }
+
     //! The number of nodes that read the store in place of the selected readers.
     int substitutes() const
     {
@@ -160,6 +174,8 @@
     std::set<InstanceId> cutOff;
     //! Nodes of a build that does not know eras.
     std::set<InstanceId> withoutEras;
+    //! The links between nodes are silent.
+    bool dropsPeerMessages = false;
     //! The store does not keep any changes.
     bool discardsHistory = false;
     Duration storeDelay = 4ms;
@@ -189,6 +205,16 @@
         std::uint64_t number = 0;
     };
 
+    InstanceList listWithout(const std::vector<InstanceId> &ids) const
+    {
+        const auto isRemoved = [&ids](const PublishedInstance &instance) {
+            return std::find(ids.begin(), ids.end(), instance.instance) != ids.end();
+        };
+        InstanceList list = m_list;
+        list.instances.erase(std::remove_if(list.instances.begin(), list.instances.end(), isRemoved), list.instances.end());
+        return list;
+    }
+
     void addNode(int index)
     {
         startNode(index);
@@ -209,7 +235,12 @@
         };
         hooks.sendStatus = [this, id](const InstanceId &to) { deliver(id, to, statusOf(id)); };
         hooks.configurationChanged = [] {};
-        hooks.instancesChanged = [this] { ++instanceListUpdates; };
+        hooks.instancesChanged = [this, id] {
+            ++instanceListUpdates;
+            if (m_removedInstance && nodes.at(id)->instances().items().count(itemOf(*m_removedInstance)) == 0) {
+                nodes.at(id)->setInstances(listWithout({*m_removedInstance}));
+            }
+        };
         hooks.eraChanged = [this](const char * /*what*/, const StoreEraChange & /*change*/) { ++eraChanges; };
         // A value is a text, a hyphen and the number of the heartbeat.
         hooks.isHeartbeat = [](const StoreItem &previous, const StoreItem &next) {
@@ -277,7 +308,7 @@
             ++otherMessages;
         }
         time.after(linkDelay, [this, from, to, message] {
-            if (stopped.count(from) == 0 && stopped.count(to) == 0 && cutOff.count(from) == cutOff.count(to)) {
+            if (!dropsPeerMessages && stopped.count(from) == 0 && stopped.count(to) == 0 && cutOff.count(from) == cutOff.count(to)) {
                 nodes.at(to)->received({ConnectionId(m_numbers.at(from)), from, message, Duration::zero()});
             }
         });
@@ -433,6 +464,7 @@
     //! Kept because responses of the store may still arrive.
     std::vector<std::unique_ptr<StoreReplication>> m_replaced;
     Copy m_copy;
+    std::optional<InstanceId> m_removedInstance;
     std::uint64_t m_era = 1;
     std::map<std::string, StoreItem> m_items;
     std::vector<StoreEvent> m_history;
@@ -946,3 +978,48 @@
         }
     }
 }
+
+//! Guards against requests to a removed backend server through the node beside it, which the readers did not tell of the removal.
+Test(storereplication, the_node_beside_a_removed_backend_server_is_told_of_the_removal)
+{
+    constexpr int size = 12;
+    for (int i = 0; i < 10 * size; ++i) {
+        const InstanceId removed("n" + std::to_string(i % size));
+        ReplicatedFleet fleet(size);
+        fleet.publish(removed);
+        const Duration phase = i / size * 220ms;
+        writeHeartbeats(fleet, i % 2 == 0 ? 0 : 8, 9s + phase);
+        fleet.time.runFor(6s + phase);
+        fleet.silenceStoreConnections();
+        fleet.time.runFor(1s);
+        fleet.withdraw(removed);
+        fleet.time.runFor(recoveryBound - 1s);
+        for (const auto &[id, node] : fleet.nodes) {
+            cr_expect_eq(node->instances().items().count(ReplicatedFleet::itemOf(removed)),
+                         0,
+                         "round %d: %s does not know of the removal of %s",
+                         i,
+                         id.value().c_str(),
+                         removed.value().c_str());
+        }
+    }
+}
+
+//! Guards against nodes that rely on documents of their readers when the links between nodes have become silent as well.
+Test(storereplication, changes_are_known_in_time_after_the_links_have_become_silent_too)
+{
+    constexpr int size = 12;
+    for (Duration phase = 0ms; phase < 2500ms; phase += 100ms) {
+        ReplicatedFleet fleet(size);
+        writeHeartbeats(fleet, 8, 9s + phase);
+        fleet.time.runFor(6s + phase);
+        fleet.silenceStoreConnections();
+        fleet.dropsPeerMessages = true;
+        fleet.time.runFor(1s);
+        fleet.write("i/changed", "1");
+        fleet.write("c/changed", "1");
+        fleet.time.runFor(recoveryBound - 1s);
+        cr_expect_eq(fleet.holders("i/changed", "1"), size, "%d of %d nodes", fleet.holders("i/changed", "1"), size);
+        cr_expect_eq(fleet.holders("c/changed", "1"), size, "%d of %d nodes", fleet.holders("c/changed", "1"), size);
+    }
+}
