Test: silent connections to the store on real processes

Nodes reach the store through a relay. A change of each prefix makes their watches begin anew, 0.6 s later all connections become silent, and 1 s after that a backend server drains, another is removed and a route moves. No request may reach them 2 s later, as before.

--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -168,11 +168,11 @@
     MeshEnvironmentOptions mesh;
     double meshSeconds = 8;
     auto *meshCommand = app.add_subcommand("mesh", "The store, backend servers and callers round nodes that serve plain HTTP");
-    meshCommand->add_option("--port", mesh.port, "The first of six ports")->required();
+    meshCommand->add_option("--port", mesh.port, "The first of eight ports")->required();
     meshCommand->add_option("--seconds", meshSeconds);
     meshCommand->add_option("--rate", mesh.requestsPerSecond);
     meshCommand->add_option("--seed", mesh.seed);
-    meshCommand->add_option("--events", mesh.events, "Of: drain, route, down, history, odd, restored, changes, unwritten");
+    meshCommand->add_option("--events", mesh.events, "Of: drain, removal, route, down, history, odd, restored, changes, unwritten, silent");
     meshCommand->add_option("--stopped", mesh.stoppedInstance, "Instance that the test stops when told to");
     meshCommand->add_option("--stop-calls", mesh.stopCalls, "What its callers do then: quiet, late, stuck");
     meshCommand->add_option("--spare", mesh.sparedInstances, "Instances to which callers do not send");
--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -51,6 +51,19 @@
 constexpr Duration oddEntryInterval = std::chrono::milliseconds(150);
 const std::string host = "world.example";
 const std::string drainedInstance = "outer-2";
+const std::string removedInstance = "outer-3";
+//! Long enough after a change for the next watches to have begun, and when the changes follow that must be known in time.
+constexpr Duration silenceDelay = std::chrono::milliseconds(600);
+constexpr Duration changeAfterSilenceDelay = std::chrono::seconds(1);
+//! Offsets of the ports that are used with a relay before the store.
+constexpr int storeBehindRelayPort = 6;
+constexpr int relayControlPort = 7;
+
+Endpoint storeAddress(const MeshEnvironmentOptions &options)
+{
+    const int offset = options.events.count("silent") != 0 ? storeBehindRelayPort : 0;
+    return {"127.0.0.1", static_cast<std::uint16_t>(options.port + offset)};
+}
 
 } // namespace
 
@@ -77,8 +90,13 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_random(m_options.seed)
-    , m_store(context, {"127.0.0.1", static_cast<std::uint16_t>(m_options.port)})
+    , m_store(context, storeAddress(m_options))
 {
+    if (m_options.events.count("silent") != 0) {
+        const auto address = [this](int offset) { return Endpoint{"127.0.0.1", static_cast<std::uint16_t>(m_options.port + offset)}; };
+        m_storeRelay = std::make_unique<StandinRelay>(
+            m_context, StandinRelay::Options{address(0), storeAddress(m_options), address(relayControlPort)});
+    }
     addBackend("outer-1", "outer", "a");
     addBackend("outer-2", "outer", "b");
     addBackend("outer-3", "outer", "b");
@@ -121,6 +139,9 @@
             return error;
         }
     }
+    if (const std::error_code error = m_storeRelay ? m_storeRelay->listen() : std::error_code(); error) {
+        return error;
+    }
     return m_store.listen();
 }
 
@@ -250,15 +271,25 @@
 void MeshEnvironment::scheduleEvents()
 {
     const auto has = [this](const char *event) { return m_options.events.count(event) != 0; };
+    if (has("silent")) {
+        scheduleSilence();
+    }
+    const Duration changeDelay = firstEventDelay + (has("silent") ? silenceDelay + changeAfterSilenceDelay : Duration::zero());
     if (has("drain")) {
-        after(firstEventDelay, [this] {
+        after(changeDelay, [this] {
             publishInstance(drainedInstance, "draining");
-            m_drainedAt = steadyClock()();
+            m_leftAt[drainedInstance] = steadyClock()();
+        });
+    }
+    if (has("removal")) {
+        after(changeDelay, [this] {
+            m_store.remove("servers/" + removedInstance);
+            m_leftAt[removedInstance] = steadyClock()();
         });
     }
     if (has("route")) {
-        after(firstEventDelay, [this] {
-            publishRoutes(2, "spare");
+        after(changeDelay, [this] {
+            publishRoutes(3, "spare");
             m_routedAt = steadyClock()();
         });
     }
@@ -283,6 +314,16 @@
     }
 }
 
+//! A change of each prefix ends all watches, so that those that become silent have just begun.
+void MeshEnvironment::scheduleSilence()
+{
+    after(firstEventDelay, [this] {
+        publishRoutes(2, "outer");
+        m_store.put("servers/unreadable", "{\"service\":");
+    });
+    after(firstEventDelay + silenceDelay, [this] { m_storeRelay->silence(); });
+}
+
 //! The store loses a version of the routes, which is written again, and the next one has a lower revision than the lost one had.
 //! With the event "unwritten", the store keeps the older version.
 void MeshEnvironment::scheduleRestoration()
@@ -538,12 +579,13 @@
 {
     int violations = 0;
     for (const auto &backend : m_backends) {
-        if (m_drainedAt == TimePoint() || backend->options().id != drainedInstance) {
+        const auto left = m_leftAt.find(backend->options().id);
+        if (left == m_leftAt.end()) {
             continue;
         }
         for (const auto &run : backend->runs()) {
-            if (run.at > m_drainedAt + maximumPropagationTime) {
-                reportViolation(violations, run.request + " reached a draining backend server");
+            if (run.at > left->second + maximumPropagationTime) {
+                reportViolation(violations, run.request + " reached " + left->first + ", which is leaving or gone");
             }
         }
     }
--- a/standins/meshenvironment.h
+++ b/standins/meshenvironment.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "plainbackend.h"
+#include "standinrelay.h"
 #include "standinstore.h"
 
 #include <chervilpaddle/base/random.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -18,13 +20,13 @@
 //! Options of a run. Every instance has its own loopback address; the services span two data centres.
 struct MeshEnvironmentOptions
 {
-    //! The first of six consecutive ports: the store, then each instance's ports for callers, peers, readiness, operators
-    //! and the backend server.
+    //! The first of eight consecutive ports: the store, then each instance's ports for callers, peers, readiness, operators
+    //! and the backend server, then two for the event "silent", in which nodes reach the store through a relay.
     int port = 0;
     Duration length = std::chrono::seconds(8);
     double requestsPerSecond = 100;
     std::uint64_t seed = 1;
-    //! The changes and faults to cause, of: drain, route, down, history, odd, restored.
+    //! The changes and faults to cause, of: drain, removal, route, down, history, odd, restored, silent.
     std::set<std::string> events;
     //! Instances to which callers do not send, since the test script stops or kills them.
     std::set<std::string> sparedInstances;
@@ -72,6 +74,7 @@
     nlohmann::json instanceEntry(const std::string &id, const std::string &state) const;
     void publishOddEntries(std::size_t round);
     void scheduleRestoration();
+    void scheduleSilence();
     void after(Duration delay, std::function<void()> action);
     int check();
     int checkRuns();
@@ -86,6 +89,8 @@
     MeshEnvironmentOptions m_options;
     RandomSource m_random;
     StandinStore m_store;
+    //! Nodes reach the store through it; not set without the event "silent".
+    std::unique_ptr<StandinRelay> m_storeRelay;
     std::vector<std::unique_ptr<PlainBackend>> m_backends;
     std::vector<std::string> m_dataCentres;
     std::vector<std::unique_ptr<HttpClient>> m_callers;
@@ -98,7 +103,8 @@
     std::vector<std::shared_ptr<SentRequest>> m_requestsAcrossStop;
     std::function<void(int)> m_done;
     TimePoint m_loadStart;
-    TimePoint m_drainedAt;
+    //! When instances were reported as leaving or were removed.
+    std::map<std::string, TimePoint> m_leftAt;
     TimePoint m_routedAt;
     std::uint64_t m_storeCallsBeforeLoad = 0;
     int m_outstanding = 0;
--- a/standins/standinrelay.cpp
+++ b/standins/standinrelay.cpp
@@ -156,9 +156,7 @@
             pipe->close();
         }
     } else if (action == "/silence") {
-        for (const auto &pipe : pipes) {
-            pipe->dropTraffic();
-        }
+        silence();
     } else if (action == "/refuse") {
         m_refusing = body == "yes";
     } else if (action == "/answer-bytes") {
@@ -169,6 +167,13 @@
     exchange->respond(std::move(response));
 }
 
+void StandinRelay::silence()
+{
+    for (const auto &pipe : openPipes()) {
+        pipe->dropTraffic();
+    }
+}
+
 std::vector<std::shared_ptr<StandinRelay::Pipe>> StandinRelay::openPipes()
 {
     std::vector<std::shared_ptr<Pipe>> open;
--- a/standins/standinrelay.h
+++ b/standins/standinrelay.h
@@ -25,6 +25,8 @@
 
     StandinRelay(boost::asio::io_context &context, Options options);
     std::error_code listen();
+    //! Drops all traffic of the open connections from now on, without closing them.
+    void silence();
 
 private:
     class Pipe;
