Test: the moved route has version 2 again without a silence

Cause: the stand-in published version 3 for every run since, as a run with a silence has a version 2 before it. The daemon is not concerned.

Change: version 3 only in a run with a silence. The check is unchanged; process.mesh_restart and process.mesh_silent_store pass.

--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -288,8 +288,9 @@
         });
     }
     if (has("route")) {
-        after(changeDelay, [this] {
-            publishRoutes(3, "spare");
+        // The change before a silence has version 2.
+        after(changeDelay, [this, version = has("silent") ? 3 : 2] {
+            publishRoutes(version, "spare");
             m_routedAt = steadyClock()();
         });
     }
