--- a/standins/meshenvironment.cpp
+++ b/standins/meshenvironment.cpp
@@ -59,10 +59,14 @@
 constexpr int storeBehindRelayPort = 6;
 constexpr int relayControlPort = 7;
 
+Endpoint loopbackAddress(const MeshEnvironmentOptions &options, int portOffset)
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(options.port + portOffset)};
+}
+
 Endpoint storeAddress(const MeshEnvironmentOptions &options)
 {
-    const int offset = options.events.count("silent") != 0 ? storeBehindRelayPort : 0;
-    return {"127.0.0.1", static_cast<std::uint16_t>(options.port + offset)};
+    return loopbackAddress(options, options.events.count("silent") != 0 ? storeBehindRelayPort : 0);
 }
 
 } // namespace
@@ -93,9 +97,9 @@
     , m_store(context, storeAddress(m_options))
 {
     if (m_options.events.count("silent") != 0) {
-        const auto address = [this](int offset) { return Endpoint{"127.0.0.1", static_cast<std::uint16_t>(m_options.port + offset)}; };
-        m_storeRelay = std::make_unique<StandinRelay>(
-            m_context, StandinRelay::Options{address(0), storeAddress(m_options), address(relayControlPort)});
+        const StandinRelay::Options relay{
+            loopbackAddress(m_options, 0), storeAddress(m_options), loopbackAddress(m_options, relayControlPort)};
+        m_storeRelay = std::make_unique<StandinRelay>(m_context, relay);
     }
     addBackend("outer-1", "outer", "a");
     addBackend("outer-2", "outer", "b");
@@ -271,10 +275,11 @@
 void MeshEnvironment::scheduleEvents()
 {
     const auto has = [this](const char *event) { return m_options.events.count(event) != 0; };
-    if (has("silent")) {
+    const bool isSilent = has("silent");
+    if (isSilent) {
         scheduleSilence();
     }
-    const Duration changeDelay = firstEventDelay + (has("silent") ? silenceDelay + changeAfterSilenceDelay : Duration::zero());
+    const Duration changeDelay = firstEventDelay + (isSilent ? silenceDelay + changeAfterSilenceDelay : Duration::zero());
     if (has("drain")) {
         after(changeDelay, [this] {
             publishInstance(drainedInstance, "draining");
@@ -289,7 +294,7 @@
     }
     if (has("route")) {
         // The change before a silence has version 2.
-        after(changeDelay, [this, version = has("silent") ? 3 : 2] {
+        after(changeDelay, [this, version = isSilent ? 3 : 2] {
             publishRoutes(version, "spare");
             m_routedAt = steadyClock()();
         });
